--- a/include/celeryglade/config.h
+++ b/include/celeryglade/config.h
@@ -59,6 +59,9 @@
 /** Parses an HTTP method; returns 0 for one that is not supported. */
 enum cg_method cg_method_parse(const char *text);
 
+/** Returns the name of one method; the string is static. */
+const char *cg_method_name(enum cg_method m);
+
 struct cg_account;
 
 /** Maps a path prefix and methods to a service. */
--- a/include/internal/settings.h
+++ b/include/internal/settings.h
@@ -50,6 +50,13 @@
 int cg_settings_load(const char *path, struct cg_settings *s,
 		     struct cg_faults *f);
 
+/**
+ * Reads a fleet secret: the content of a file without trailing line ends, at
+ * least 16 bytes. Returns 0, and the caller owns @p out, or -1 after adding a
+ * fault.
+ */
+int cg_secret_load(const char *path, GBytes **out, struct cg_faults *f);
+
 /** Frees what the settings own. */
 void cg_settings_clear(struct cg_settings *s);
 
