--- a/src/config/objects.c
+++ b/src/config/objects.c
@@ -210,7 +210,8 @@
 	return ok;
 }
 
-/* Like cg_json_refuse_unknown, with the file of each member. */
+/* Like cg_json_refuse_unknown, with the file of each member. A long name may be
+ * a key in clear in the wrong place, so it is not shown. */
 static void refuse_unknown(struct cg_builder *b, struct json_object *o,
 			   const char *const *known)
 {
@@ -220,8 +221,9 @@
 		(void)value;
 		if (g_strv_contains(known, name))
 			continue;
-		safe = g_strescape(name, NULL);
-		FAULT(b, name, "unknown member \"%.80s\"", safe);
+		safe = strlen(name) > KEY_NAME_MAX ? g_strdup("(long name)")
+						   : g_strescape(name, NULL);
+		FAULT(b, name, "unknown member %s", safe);
 		g_free(safe);
 	}
 }
