--- a/include/internal/store.h
+++ b/include/internal/store.h
@@ -24,7 +24,8 @@
 
 struct cg_store;
 
-/** Creates a client for "http://IP:PORT". The caller owns the result. */
+/** Creates a client for "http://IP:PORT", or returns NULL if the URL is
+ * malformed. The caller owns the result. */
 struct cg_store *cg_store_new(const char *url, int timeout_s);
 void cg_store_free(struct cg_store *s);
 
@@ -55,4 +56,10 @@
 /** Reads the platform's list of instances (JSON). The caller owns @p body. */
 enum cg_store_result cg_store_instances(struct cg_store *s, GBytes **body);
 
+/** Waits until the list's version differs from @p known, at most @p wait_ms;
+ * OK or UNCHANGED. */
+enum cg_store_result cg_store_watch_instances(struct cg_store *s,
+					      uint64_t known, cg_ms wait_ms,
+					      GBytes **body);
+
 #endif
--- /dev/null
+++ b/src/rpc/gossip_wire.x
@@ -0,0 +1,30 @@
+/* CG_MSG_GOSSIP, request and reply; at most 1,200 bytes. */
+%#include "notice_wire.h"
+
+const CG_X_GOSSIP_NAME = 63;
+const CG_X_GOSSIP_DOCS = 3;
+const CG_X_GOSSIP_NOTICES = 4;
+const CG_X_GOSSIP_AGES = 800;
+
+/* Heartbeat ages of the listed members in order of their names, from number
+ * `first` on, as 4-bit codes. `set` identifies the sorted names. */
+struct cg_x_ages {
+	unsigned hyper set;
+	unsigned int first;
+	unsigned int count;
+	opaque codes<CG_X_GOSSIP_AGES>;
+};
+
+struct cg_x_gossip {
+	string instance<CG_X_GOSSIP_NAME>;
+	unsigned hyper incarnation;
+	unsigned int ip;
+	unsigned int port;
+	string failure_domain<CG_X_GOSSIP_NAME>;
+	string region<CG_X_GOSSIP_NAME>;
+	unsigned hyper versions[CG_X_GOSSIP_DOCS];
+	unsigned hyper fresh_version;
+	unsigned int fresh_age_ms; /* 0xffffffff: no evidence. */
+	cg_x_notice notices<CG_X_GOSSIP_NOTICES>;
+	cg_x_ages ages;
+};
