--- /dev/null
+++ b/include/internal/doc_fetch.h
@@ -0,0 +1,43 @@
+/**
+ * @file doc_fetch.h
+ * Fetches documents and parts from a peer in chunks and verifies their digests.
+ * Calls block.
+ */
+#ifndef CELERYGLADE_INTERNAL_DOC_FETCH_H
+#define CELERYGLADE_INTERNAL_DOC_FETCH_H
+
+#include "internal/docs.h"
+#include "internal/parts.h"
+
+enum cg_fetch_result {
+	CG_FETCH_OK,
+	CG_FETCH_ABSENT, /**< The peer answered that it has no copy. */
+	CG_FETCH_FAILED, /**< No answer, or a wrong one. */
+};
+
+/** Computes the SHA-256 of @p content. */
+void cg_content_digest(GBytes *content, uint8_t out[CG_DIGEST_SIZE]);
+
+/**
+ * Points @p chunk at up to @p max bytes of @p content from @p offset on; the
+ * bytes belong to @p content. Returns the size of the whole content.
+ */
+uint32_t cg_cut_chunk(GBytes *content, uint32_t offset, uint32_t max,
+		      char **chunk, u_int *len);
+
+/** Asks for the version that the peer holds. Returns 0 or -1. */
+int cg_fetch_version(struct cg_peer *p, const struct sockaddr_in *from,
+		     enum cg_doc doc, cg_ms timeout, uint64_t *version);
+
+/** Fetches the peer's copy. On 0 the caller owns @p content. */
+int cg_fetch_doc(struct cg_peer *p, const struct sockaddr_in *from,
+		 enum cg_doc doc, cg_ms timeout, GBytes **content,
+		 uint64_t *store_version);
+
+/** Fetches a part. On OK the caller owns @p part. */
+enum cg_fetch_result cg_fetch_part(struct cg_peer *p,
+				   const struct sockaddr_in *from,
+				   const struct cg_part_ref *ref, cg_ms timeout,
+				   GBytes **part);
+
+#endif
--- a/include/internal/docs.h
+++ b/include/internal/docs.h
@@ -1,7 +1,7 @@
 /**
  * @file docs.h
  * Versioned documents that every daemon holds a copy of: the configuration's
- * root with its parts, and the shard map. Copies come from the store or from
+ * root with its parts, the shard map and the list of instances. Copies come from the store or from
  * peers; a copy's version only rises.
  */
 #ifndef CELERYGLADE_INTERNAL_DOCS_H
@@ -10,6 +10,8 @@
 #include <glib.h>
 #include <netinet/in.h>
 
+#include <json-c/json.h>
+
 #include "internal/peer.h"
 #include "internal/settings.h"
 #include "internal/store.h"
@@ -17,6 +19,7 @@
 enum cg_doc {
 	CG_DOC_ROOT, /**< Store object "config/root". */
 	CG_DOC_SHARDS, /**< Store object "shards/map". */
+	CG_DOC_LIST, /**< The platform's list of instances. */
 	CG_DOC_COUNT,
 };
 
@@ -63,6 +66,25 @@
  * this daemon's clock. */
 void cg_docs_note_fresh(struct cg_docs *d, uint64_t version, cg_ms at);
 
+/**
+ * Copies the evidence behind cg_docs_fresh_at: the version that was read and
+ * when. Returns 0, or -1 if there is none.
+ */
+int cg_docs_evidence(struct cg_docs *d, uint64_t *version, cg_ms *at);
+
+/**
+ * Adopts content that this process has just written to the store. Returns 0 if
+ * the copy has at least its version now, or -1 if it is invalid.
+ */
+int cg_docs_put(struct cg_docs *d, enum cg_doc doc, GBytes *content,
+		uint64_t store_version);
+
+/** Returns the fixed name of a document; the string is static. */
+const char *cg_doc_name(enum cg_doc doc);
+
+/** Describes the copies for the operator's tool. The caller owns the result. */
+struct json_object *cg_docs_status(struct cg_docs *d);
+
 /** Asks for a read of the document from the store soon. */
 void cg_docs_refresh(struct cg_docs *d, enum cg_doc doc);
 
--- /dev/null
+++ b/include/internal/instances.h
@@ -0,0 +1,40 @@
+/**
+ * @file instances.h
+ * The platform's list of instances (docs/platform-api.md), decoded.
+ */
+#ifndef CELERYGLADE_INTERNAL_INSTANCES_H
+#define CELERYGLADE_INTERNAL_INSTANCES_H
+
+#include <glib.h>
+#include <netinet/in.h>
+
+#include "celeryglade/config.h"
+#include "internal/jsonc.h"
+
+/** One entry of the list. */
+struct cg_listed {
+	char name[CG_NAME_MAX + 1];
+	bool server; /**< A backend server, not an instance of the fleet. */
+	struct sockaddr_in addr; /**< Peer address; unset for servers. */
+	char failure_domain[CG_NAME_MAX + 1];
+	char region[CG_NAME_MAX + 1];
+	bool leaving;
+	int64_t started;
+};
+
+struct cg_instance_list {
+	uint64_t version;
+	struct cg_listed *items;
+	size_t n;
+};
+
+/**
+ * Decodes the list. One malformed entry makes the whole list invalid, because
+ * an entry that was left out would look like an instance that is gone.
+ * Returns 0 and the caller calls cg_instance_list_clear, or -1.
+ */
+int cg_instance_list_parse(GBytes *text, struct cg_instance_list *out,
+			   struct cg_faults *f);
+void cg_instance_list_clear(struct cg_instance_list *l);
+
+#endif
--- /dev/null
+++ b/src/control/instances.c
@@ -0,0 +1,119 @@
+#include "internal/instances.h"
+
+#include <string.h>
+
+#include "internal/settings.h"
+
+#define PLACE "instances"
+
+static int copy_name(struct json_object *o, const char *member, char *out,
+		     struct cg_faults *f)
+{
+	const char *text;
+	int rc = cg_json_get_string(o, member, PLACE, &text, f);
+
+	if (rc > 0)
+		cg_faults_add(f, PLACE, "an entry has no %s", member);
+	if (rc)
+		return -1;
+	if (!*text || strlen(text) > CG_NAME_MAX) {
+		cg_faults_add(f, PLACE, "%s must have 1 to %d bytes", member,
+			      CG_NAME_MAX);
+		return -1;
+	}
+	g_strlcpy(out, text, CG_NAME_MAX + 1);
+	return 0;
+}
+
+/* Reads a member that has one of two values; sets @p out for the second. */
+static int read_choice(struct json_object *o, const char *member,
+		       const char *no, const char *yes, bool *out,
+		       struct cg_faults *f)
+{
+	const char *text;
+	int rc = cg_json_get_string(o, member, PLACE, &text, f);
+
+	if (!rc && !strcmp(text, no)) {
+		*out = false;
+		return 0;
+	}
+	if (!rc && !strcmp(text, yes)) {
+		*out = true;
+		return 0;
+	}
+	cg_faults_add(f, PLACE, "%s must be \"%s\" or \"%s\"", member, no, yes);
+	return -1;
+}
+
+static int read_entry(struct json_object *o, struct cg_listed *out,
+		      struct cg_faults *f)
+{
+	const char *addr;
+
+	if (!json_object_is_type(o, json_type_object)) {
+		cg_faults_add(f, PLACE, "an entry is not an object");
+		return -1;
+	}
+	if (copy_name(o, "name", out->name, f) ||
+	    copy_name(o, "failure_domain", out->failure_domain, f) ||
+	    copy_name(o, "region", out->region, f) ||
+	    read_choice(o, "role", "entry", "server", &out->server, f) ||
+	    read_choice(o, "state", "live", "leaving", &out->leaving, f))
+		return -1;
+	if (cg_json_get_int(o, "started", PLACE, 0, INT64_MAX, &out->started,
+			    f) < 0)
+		return -1;
+	if (out->server)
+		return 0;
+	if (cg_json_get_string(o, "address", PLACE, &addr, f) ||
+	    cg_parse_address(addr, &out->addr)) {
+		cg_faults_add(f, PLACE, "%s has no valid address", out->name);
+		return -1;
+	}
+	return 0;
+}
+
+static int read_entries(struct json_object *a, struct cg_instance_list *out,
+			struct cg_faults *f)
+{
+	out->n = json_object_array_length(a);
+	out->items = g_new0(struct cg_listed, out->n + 1);
+	for (size_t i = 0; i < out->n; i++)
+		if (read_entry(json_object_array_get_idx(a, i), &out->items[i],
+			       f))
+			return -1;
+	return 0;
+}
+
+int cg_instance_list_parse(GBytes *text, struct cg_instance_list *out,
+			   struct cg_faults *f)
+{
+	struct json_object *o = NULL;
+	struct json_object *a;
+	int64_t version;
+	int rc = -1;
+
+	memset(out, 0, sizeof(*out));
+	if (cg_json_parse(g_bytes_get_data(text, NULL), g_bytes_get_size(text),
+			  PLACE, &o, f))
+		return -1;
+	if (!json_object_is_type(o, json_type_object) ||
+	    cg_json_get_int(o, "version", PLACE, 1, INT64_MAX, &version, f) ||
+	    cg_json_get_array(o, "instances", PLACE, &a, f)) {
+		cg_faults_add(f, PLACE, "version or instances missing");
+		goto out;
+	}
+	out->version = (uint64_t)version;
+	rc = read_entries(a, out, f);
+out:
+	if (rc)
+		cg_instance_list_clear(out);
+	json_object_put(o);
+	return rc;
+}
+
+void cg_instance_list_clear(struct cg_instance_list *l)
+{
+	g_free(l->items);
+	memset(l, 0, sizeof(*l));
+}
