Add stand-ins for the platform and for backend servers

Cause: tests, demo and measurements need the outside systems of docs/platform-api.md with faults on order.

Ruled out: an event loop with suspended connections. One thread per connection lets a watch, a slow answer or a frozen request simply block, and the few hundred connections of a test need no more.

--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,7 @@
 	-Iinclude -Isrc/rpc/gen $(PKG_CFLAGS)
 LDLIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lm -pthread
 CMOCKA := $(shell pkg-config --libs cmocka 2>/dev/null)
+CURL := $(shell pkg-config --libs libcurl 2>/dev/null)
 
 LIB_SRC := $(sort $(wildcard src/base/*.c src/config/*.c src/rpc/*.c src/control/*.c src/request/*.c))
 GEN_SRC := $(sort $(wildcard src/rpc/gen/*.c))
@@ -21,9 +22,10 @@
 TEST_SRC := $(sort $(wildcard tests/test_*.c))
 TEST_LIB_SRC := $(sort $(wildcard tests/support/*.c))
 STANDIN_SRC := $(sort $(wildcard standins/*.c))
+STANDIN_LIB_SRC := $(sort $(wildcard standins/support/*.c))
 BENCH_SRC := $(sort $(wildcard bench/*.c))
-OWN_SRC := $(LIB_SRC) src/celerygladed.c $(CTL_SRC) $(TEST_SRC) $(TEST_LIB_SRC) $(STANDIN_SRC) $(BENCH_SRC)
-OWN_HDR := $(sort $(wildcard include/*/*.h src/*/*.h tests/*.h tests/support/*.h standins/*.h bench/*.h))
+OWN_SRC := $(LIB_SRC) src/celerygladed.c $(CTL_SRC) $(TEST_SRC) $(TEST_LIB_SRC) $(STANDIN_SRC) $(STANDIN_LIB_SRC) $(BENCH_SRC)
+OWN_HDR := $(sort $(wildcard include/*/*.h src/*/*.h tests/*.h tests/support/*.h standins/support/*.h bench/*.h))
 
 LIB_OBJ := $(LIB_SRC:%.c=$(B)/%.o) $(GEN_SRC:%.c=$(B)/%.o)
 PROGS := $(B)/celerygladed $(B)/celerygladectl
@@ -45,12 +47,12 @@
 	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS)
 $(B)/celerygladectl: $(CTL_SRC:%.c=$(B)/%.o) $(B)/libceleryglade.a
 	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS)
-$(B)/standins/%: $(B)/standins/%.o $(B)/libceleryglade.a
+$(B)/standins/%: $(B)/standins/%.o $(STANDIN_LIB_SRC:%.c=$(B)/%.o) $(B)/libceleryglade.a
 	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS)
 $(B)/tests/test_%: $(B)/tests/test_%.o $(TEST_LIB_SRC:%.c=$(B)/%.o) $(B)/libceleryglade.a
-	$(CC) $(SANFLAGS) -o $@ $^ $(CMOCKA) $(LDLIBS)
+	$(CC) $(SANFLAGS) -o $@ $^ $(CMOCKA) $(CURL) $(LDLIBS)
 $(B)/bench/%: $(B)/bench/%.o $(B)/libceleryglade.a
-	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS)
+	$(CC) $(SANFLAGS) -o $@ $^ $(CURL) $(LDLIBS)
 
 # rpcgen's output does not meet the project's own warnings.
 $(B)/src/rpc/gen/%.o: src/rpc/gen/%.c
--- /dev/null
+++ b/standins/backend.c
@@ -0,0 +1,707 @@
+/* Stand-in for backend servers: slots, load shedding, cold start, drain, and
+ * gray failures on order. One process serves several ports. Every execution
+ * is counted by request id. */
+#include <argp.h>
+#include <fcntl.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "support/http.h"
+
+#define POLL_MS	    20
+#define MAX_SERVERS 64
+
+/* What a server does to a request; X(symbol, name). */
+#define FAULTS(X)                                                              \
+	X(NONE, "none")                                                        \
+	X(FAIL, "fail") /* runs, then 500 */                                   \
+	X(FREEZE, "freeze") /* accepts, never runs or answers */               \
+	X(SILENT_OLD, "silent_old") /* freezes connections older than now */   \
+	X(TRUNCATE, "truncate") /* runs, body shorter than its length */       \
+	X(TRUNCATE_CHUNKED, "truncate_chunked") /* no last chunk */            \
+	X(CLOSE_AFTER_READ, "close_after_read") /* does not run */             \
+	X(LOSE, "lose_response") /* runs, then closes */                       \
+	X(CLOSE_BEFORE_READ, "close_before_read") /* does not run */           \
+	X(LATE, "late") /* runs, then waits late_ms */                         \
+	X(CROSSED, "crossed") /* runs, then another request's response */
+
+enum fault {
+#define X(sym, name) FAULT_##sym,
+	FAULTS(X)
+#undef X
+	FAULT_COUNT,
+};
+
+static const char *const fault_names[] = {
+#define X(sym, name) name,
+	FAULTS(X)
+#undef X
+};
+
+enum health {
+	HEALTH_TRUE,
+	HEALTH_OK, /* Says ok whatever the state. */
+	HEALTH_BAD, /* Says bad whatever the state. */
+};
+
+struct server {
+	int port;
+	struct MHD_Daemon *http;
+	enum fault fault;
+	double fault_share, slow_factor;
+	int64_t late_ms, silent_before, started, drain_at;
+	bool refuse, draining, echo, stopping;
+	enum health health;
+	int64_t health_lag_ms, shown_at;
+	bool shown_draining;
+	int shown_running;
+	int running, waiting;
+	char *last_id, *last_attempt;
+	uint64_t connections, requests, executed, shed, cancelled;
+	int64_t last_start; /* Of the last execution. */
+};
+
+/* Executions of one request id. */
+struct record {
+	uint64_t count;
+	char *account;
+	GString *attempts;
+	bool forbidden;
+};
+
+static struct {
+	GMutex lock;
+	GCond slot_free;
+	struct server servers[MAX_SERVERS];
+	int n;
+	GHashTable *records;
+	int journal;
+} be = { .journal = -1 };
+
+static struct {
+	int port, count, control, slots, queue, size;
+	double service_ms, cold_factor;
+	int cold_ms;
+	enum {
+		FIXED,
+		EXPONENTIAL,
+		LOGNORMAL
+	} shape;
+	char *journal;
+	bool no_echo;
+} opts = { .port = 9001,
+	   .count = 1,
+	   .control = 9000,
+	   .slots = 3,
+	   .queue = 0,
+	   .size = 200,
+	   .service_ms = 5,
+	   .cold_factor = 4 };
+
+static void record_free(void *arg)
+{
+	struct record *r = arg;
+
+	g_free(r->account);
+	g_string_free(r->attempts, TRUE);
+	g_free(r);
+}
+
+/* One line for the journal and for GET /control/executions. */
+static void print_record(GString *s, const char *id, uint64_t n,
+			 const char *account, const char *attempts,
+			 bool forbidden)
+{
+	g_string_append_printf(s,
+			       "{\"id\":\"%s\",\"count\":%" G_GUINT64_FORMAT
+			       ",\"account\":\"%s\",\"attempts\":\"%s\","
+			       "\"forbidden\":%s}\n",
+			       id, n, account, attempts,
+			       forbidden ? "true" : "false");
+}
+
+/* Counts an execution, under the lock. The journal outlives SIGKILL. */
+static void record(struct MHD_Connection *c, const char *id,
+		   const char *attempt)
+{
+	const char *account = sh_header(c, "Celeryglade-Account");
+	bool forbidden = sh_header(c, "Authorization") ||
+			 sh_header(c, "Celeryglade-Key");
+	struct record *r = g_hash_table_lookup(be.records, id);
+	GString *line;
+
+	if (!r) {
+		r = g_new0(struct record, 1);
+		r->attempts = g_string_new(NULL);
+		r->account = g_strdup(account ? account : "");
+		g_hash_table_insert(be.records, g_strdup(id), r);
+	}
+	r->count++;
+	r->forbidden |= forbidden;
+	g_string_append_printf(r->attempts, "%s%s", r->attempts->len ? " " : "",
+			       attempt);
+	if (be.journal < 0)
+		return;
+	line = g_string_new(NULL);
+	print_record(line, id, 1, account ? account : "", attempt, forbidden);
+	if (write(be.journal, line->str, line->len) != (ssize_t)line->len)
+		fprintf(stderr, "backend: cannot write the journal\n");
+	g_string_free(line, TRUE);
+}
+
+static double service_time(struct server *s)
+{
+	double u = g_random_double_range(1e-9, 1), ms = opts.service_ms;
+
+	if (opts.shape == EXPONENTIAL)
+		ms *= -log(u);
+	else if (opts.shape == LOGNORMAL) /* Median ms, sigma 0.5. */
+		ms *= exp(0.5 * sqrt(-2 * log(u)) *
+			  cos(2 * G_PI * g_random_double()));
+	ms *= s->slow_factor;
+	if (sh_now() < s->started + opts.cold_ms)
+		ms *= opts.cold_factor;
+	return ms;
+}
+
+/* Blocks until the fault ends, the caller leaves or the server stops. */
+static void block(struct MHD_Connection *c, struct server *s, enum fault f)
+{
+	while (!s->stopping && s->fault == f)
+		if (sh_closed_within(c, POLL_MS))
+			return;
+}
+
+/* Sleeps; returns false if the caller left or the server stopped before. */
+static bool work(struct MHD_Connection *c, struct server *s, double ms)
+{
+	int64_t end = g_get_monotonic_time() + (int64_t)(ms * 1000), left;
+
+	while ((left = end - g_get_monotonic_time()) > 0) {
+		if (s->stopping)
+			return false;
+		/* poll counts whole milliseconds. */
+		if (left < 1500)
+			g_usleep((gulong)left);
+		else if (sh_closed_within(c, (int)MIN(POLL_MS, left / 1000)))
+			return false;
+	}
+	return true;
+}
+
+enum admission {
+	ADMITTED,
+	SHED,
+	LEFT, /* The caller left or its deadline passed while waiting. */
+};
+
+static enum admission take_slot(struct MHD_Connection *c, struct server *s,
+				int64_t deadline)
+{
+	enum admission a = ADMITTED;
+
+	g_mutex_lock(&be.lock);
+	if (s->running >= opts.slots && s->waiting >= opts.queue) {
+		s->shed++;
+		a = SHED;
+	} else {
+		s->waiting++;
+		while (s->running >= opts.slots && a == ADMITTED) {
+			g_cond_wait_until(&be.slot_free, &be.lock,
+					  g_get_monotonic_time() +
+						  POLL_MS * 1000);
+			if (s->stopping || sh_now() >= deadline ||
+			    sh_closed_within(c, 0))
+				a = LEFT;
+		}
+		s->waiting--;
+	}
+	if (a == ADMITTED)
+		s->running++;
+	if (a == LEFT)
+		s->cancelled++;
+	g_mutex_unlock(&be.lock);
+	return a;
+}
+
+static void put_slot(struct server *s)
+{
+	g_mutex_lock(&be.lock);
+	s->running--;
+	g_cond_broadcast(&be.slot_free);
+	g_mutex_unlock(&be.lock);
+}
+
+/* Health and load as of at most health_lag_ms ago, under the lock. */
+static void sample(struct server *s)
+{
+	int64_t now = sh_now();
+
+	if (s->shown_at && now - s->shown_at < s->health_lag_ms)
+		return;
+	s->shown_at = now;
+	s->shown_draining = s->draining;
+	s->shown_running = s->running;
+}
+
+static enum MHD_Result reply(struct MHD_Connection *c, struct server *s,
+			     unsigned int status, struct MHD_Response *r)
+{
+	char load[32];
+	bool draining;
+
+	g_mutex_lock(&be.lock);
+	sample(s);
+	draining = s->draining;
+	snprintf(load, sizeof(load), "%d/%d",
+		 s->health == HEALTH_OK ? 0 : s->shown_running, opts.slots);
+	g_mutex_unlock(&be.lock);
+	MHD_add_response_header(r, "Load", load);
+	if (draining)
+		MHD_add_response_header(r, "Draining", "1");
+	return sh_send(c, status, r);
+}
+
+static enum MHD_Result get_health(struct MHD_Connection *c, struct server *s)
+{
+	bool ok;
+
+	g_mutex_lock(&be.lock);
+	sample(s);
+	ok = s->health == HEALTH_TRUE ? !s->shown_draining
+				      : s->health == HEALTH_OK;
+	g_mutex_unlock(&be.lock);
+	return reply(c, s, ok ? MHD_HTTP_OK : MHD_HTTP_SERVICE_UNAVAILABLE,
+		     sh_response(ok ? "ok" : "bad", ok ? 2 : 3));
+}
+
+/* A body that ends before its length or before the last chunk. */
+struct cut {
+	size_t len;
+	char text[];
+};
+
+static ssize_t read_cut(void *arg, uint64_t pos, char *buf, size_t max)
+{
+	struct cut *t = arg;
+	size_t n;
+
+	if (pos >= t->len)
+		return MHD_CONTENT_READER_END_WITH_ERROR;
+	n = MIN(max, t->len - pos);
+	memcpy(buf, t->text + pos, n);
+	return (ssize_t)n;
+}
+
+static struct MHD_Response *cut_response(const char *text, bool chunked)
+{
+	size_t len = strlen(text);
+	struct cut *t = g_malloc(sizeof(*t) + len);
+
+	t->len = len / 2;
+	memcpy(t->text, text, len);
+	return MHD_create_response_from_callback(
+		chunked ? MHD_SIZE_UNKNOWN : len, 4096, read_cut, t, g_free);
+}
+
+static char *make_body(struct server *s, const char *id)
+{
+	return g_strdup_printf("{\"request_id\":\"%s\",\"server\":%d,"
+			       "\"padding\":\"%*s\",\"end\":true}\n",
+			       id, s->port, opts.size, "");
+}
+
+static enum MHD_Result respond(struct MHD_Connection *c, struct server *s,
+			       enum fault f, const char *id,
+			       const char *attempt)
+{
+	unsigned int status =
+		f == FAULT_FAIL ? MHD_HTTP_INTERNAL_SERVER_ERROR : MHD_HTTP_OK;
+	bool cut = f == FAULT_TRUNCATE || f == FAULT_TRUNCATE_CHUNKED;
+	char *body = make_body(s, id);
+	struct MHD_Response *r;
+
+	r = cut ? cut_response(body, f == FAULT_TRUNCATE_CHUNKED)
+		: sh_response(body, strlen(body));
+	g_free(body);
+	if (s->echo && *attempt)
+		MHD_add_response_header(r, "Celeryglade-Attempt", attempt);
+	return reply(c, s, status, r);
+}
+
+/* Swaps in the ids of the request before this one; the caller frees them. */
+static void cross(struct server *s, const char *id, const char *attempt,
+		  char **other_id, char **other_attempt)
+{
+	g_mutex_lock(&be.lock);
+	*other_id = s->last_id ? s->last_id : g_strdup("another-request");
+	*other_attempt =
+		s->last_attempt ? s->last_attempt : g_strdup("another-attempt");
+	s->last_id = g_strdup(id);
+	s->last_attempt = g_strdup(attempt);
+	g_mutex_unlock(&be.lock);
+}
+
+static enum MHD_Result run(struct MHD_Connection *c, struct server *s,
+			   enum fault f, const char *id, const char *attempt)
+{
+	char *other_id = NULL, *other_attempt = NULL;
+	enum MHD_Result rc;
+	double ms;
+	bool done;
+
+	g_mutex_lock(&be.lock);
+	record(c, id, attempt);
+	s->executed++;
+	s->last_start = sh_now();
+	ms = service_time(s);
+	g_mutex_unlock(&be.lock);
+	done = work(c, s, ms);
+	put_slot(s);
+	if (done && f == FAULT_LATE)
+		done = work(c, s, (double)s->late_ms);
+	if (!done || f == FAULT_LOSE) {
+		g_mutex_lock(&be.lock);
+		s->cancelled += !done;
+		g_mutex_unlock(&be.lock);
+		return MHD_NO;
+	}
+	cross(s, id, attempt, &other_id, &other_attempt);
+	if (f == FAULT_CROSSED)
+		rc = respond(c, s, f, other_id, other_attempt);
+	else
+		rc = respond(c, s, f, id, attempt);
+	g_free(other_id);
+	g_free(other_attempt);
+	return rc;
+}
+
+static bool is_old(struct MHD_Connection *c, struct server *s)
+{
+	const union MHD_ConnectionInfo *i =
+		MHD_get_connection_info(c, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+
+	return (int64_t)(intptr_t)i->socket_context < s->silent_before;
+}
+
+/* Picks the fault that this request meets. */
+static enum fault pick_fault(struct MHD_Connection *c, struct server *s)
+{
+	enum fault f = s->fault;
+
+	if (f == FAULT_SILENT_OLD)
+		return is_old(c, s) ? f : FAULT_NONE;
+	return g_random_double() < s->fault_share ? f : FAULT_NONE;
+}
+
+static enum MHD_Result handle(struct MHD_Connection *c, struct server *s)
+{
+	const char *id = sh_header(c, "X-Request-Id");
+	const char *attempt = sh_header(c, "Celeryglade-Attempt");
+	const char *limit = sh_header(c, "Celeryglade-Deadline-Ms");
+	enum fault f = pick_fault(c, s);
+	struct MHD_Response *r;
+
+	g_mutex_lock(&be.lock);
+	s->requests++;
+	g_mutex_unlock(&be.lock);
+	if (f == FAULT_FREEZE || f == FAULT_SILENT_OLD) {
+		block(c, s, f);
+		return MHD_NO;
+	}
+	if (f == FAULT_CLOSE_AFTER_READ)
+		return MHD_NO;
+	switch (take_slot(c, s, limit ? sh_now() + atoll(limit) : INT64_MAX)) {
+	case ADMITTED:
+		return run(c, s, f, id ? id : "", attempt ? attempt : "");
+	case SHED:
+		r = sh_response("shed\n", 5);
+		MHD_add_response_header(r, "Not-Run", "1");
+		if (s->echo && attempt)
+			MHD_add_response_header(r, "Celeryglade-Attempt",
+						attempt);
+		return reply(c, s, MHD_HTTP_SERVICE_UNAVAILABLE, r);
+	case LEFT:
+		break;
+	}
+	return MHD_NO;
+}
+
+static enum MHD_Result serve(void *arg, struct MHD_Connection *c,
+			     const char *path, const char *method,
+			     const char *version, const char *data,
+			     size_t *size, void **ctx)
+{
+	struct server *s = arg;
+	bool first = !*ctx;
+
+	if (first && s->fault == FAULT_CLOSE_BEFORE_READ &&
+	    pick_fault(c, s) == FAULT_CLOSE_BEFORE_READ)
+		return MHD_NO;
+	if (!sh_collect(ctx, data, size))
+		return MHD_YES;
+	if (!strcmp(path, "/health"))
+		return get_health(c, s);
+	return handle(c, s);
+}
+
+static void connected(void *arg, struct MHD_Connection *c, void **socket_ctx,
+		      enum MHD_ConnectionNotificationCode code)
+{
+	struct server *s = arg;
+
+	if (code != MHD_CONNECTION_NOTIFY_STARTED)
+		return;
+	*socket_ctx = (void *)(intptr_t)sh_now();
+	g_mutex_lock(&be.lock);
+	s->connections++;
+	g_mutex_unlock(&be.lock);
+}
+
+/* Starts or stops listening. */
+static int set_refuse(struct server *s, bool refuse)
+{
+	if (refuse == !s->http)
+		return 0;
+	if (refuse) {
+		s->stopping = true;
+		MHD_stop_daemon(s->http);
+		s->http = NULL;
+		return 0;
+	}
+	s->stopping = false;
+	s->started = sh_now();
+	s->http = sh_listen((uint16_t)s->port, NULL, connected, serve, s);
+	return s->http ? 0 : -1;
+}
+
+static int set_faults(struct server *s, struct json_object *in)
+{
+	const char *fault = sh_get_string(in, "fault");
+	const char *health = sh_get_string(in, "health");
+	bool refuse = !s->http, draining = s->draining, cold = false;
+
+	g_mutex_lock(&be.lock);
+	sh_get_double(in, "share", &s->fault_share);
+	sh_get_double(in, "slow_factor", &s->slow_factor);
+	sh_get_int(in, "late_ms", &s->late_ms);
+	sh_get_int(in, "health_lag_ms", &s->health_lag_ms);
+	sh_get_bool(in, "echo", &s->echo);
+	sh_get_bool(in, "refuse", &refuse);
+	sh_get_bool(in, "draining", &draining);
+	sh_get_bool(in, "cold", &cold);
+	for (int i = 0; fault && i < FAULT_COUNT; i++)
+		if (!strcmp(fault, fault_names[i]))
+			s->fault = (enum fault)i;
+	if (fault)
+		s->silent_before = sh_now() + 1;
+	if (health)
+		s->health = !strcmp(health, "ok")    ? HEALTH_OK
+			    : !strcmp(health, "bad") ? HEALTH_BAD
+						     : HEALTH_TRUE;
+	if (draining && !s->draining)
+		s->drain_at = sh_now();
+	s->draining = draining;
+	if (cold)
+		s->started = sh_now();
+	g_mutex_unlock(&be.lock);
+	return set_refuse(s, refuse);
+}
+
+/* Shows one server; work after a drain is given as the time from the drain's
+ * start to the start of the last execution. */
+static void show_server(GString *out, struct server *s)
+{
+	g_string_append_printf(
+		out,
+		"{\"port\":%d,\"fault\":\"%s\",\"running\":%d,"
+		"\"connections\":%" G_GUINT64_FORMAT
+		",\"requests\":%" G_GUINT64_FORMAT
+		",\"executed\":%" G_GUINT64_FORMAT
+		",\"shed\":%" G_GUINT64_FORMAT
+		",\"cancelled\":%" G_GUINT64_FORMAT
+		",\"last_start_after_drain_ms\":%" G_GINT64_FORMAT "}",
+		s->port, fault_names[s->fault], s->running, s->connections,
+		s->requests, s->executed, s->shed, s->cancelled,
+		s->draining ? s->last_start - s->drain_at : -1);
+}
+
+static GString *show(const char *path)
+{
+	GString *out = g_string_new(NULL);
+	GHashTableIter it;
+	gpointer id, v;
+
+	g_mutex_lock(&be.lock);
+	if (!strcmp(path, "/control/executions")) {
+		g_hash_table_iter_init(&it, be.records);
+		while (g_hash_table_iter_next(&it, &id, &v)) {
+			struct record *r = v;
+
+			print_record(out, id, r->count, r->account,
+				     r->attempts->str, r->forbidden);
+		}
+	} else {
+		g_string_append(out, "{\"servers\":[");
+		for (int i = 0; i < be.n; i++) {
+			if (i)
+				g_string_append_c(out, ',');
+			show_server(out, &be.servers[i]);
+		}
+		g_string_append(out, "]}\n");
+	}
+	g_mutex_unlock(&be.lock);
+	return out;
+}
+
+/* PUT /control[?port=N] sets one server or all. DELETE /control/executions
+ * forgets the executions. */
+static GString *control(struct MHD_Connection *c, const char *method,
+			const char *path, struct json_object *in)
+{
+	const char *port = sh_query(c, "port");
+	int rc = 0;
+
+	if (!strcmp(method, "GET"))
+		return show(path);
+	if (!strcmp(method, "DELETE")) {
+		g_mutex_lock(&be.lock);
+		g_hash_table_remove_all(be.records);
+		g_mutex_unlock(&be.lock);
+		return g_string_new("{}\n");
+	}
+	if (!in)
+		return NULL;
+	for (int i = 0; i < be.n && !rc; i++)
+		if (!port || be.servers[i].port == atoi(port))
+			rc = set_faults(&be.servers[i], in);
+	return rc ? NULL : g_string_new("{}\n");
+}
+
+static error_t parse_opt(int key, char *arg, struct argp_state *state)
+{
+	switch (key) {
+	case 'p':
+		opts.port = atoi(arg);
+		return 0;
+	case 'n':
+		opts.count = atoi(arg);
+		if (opts.count < 1 || opts.count > MAX_SERVERS)
+			argp_error(state, "1 to %d servers", MAX_SERVERS);
+		return 0;
+	case 'c':
+		opts.control = atoi(arg);
+		return 0;
+	case 's':
+		opts.slots = atoi(arg);
+		return 0;
+	case 'q':
+		opts.queue = atoi(arg);
+		return 0;
+	case 'b':
+		opts.size = atoi(arg);
+		return 0;
+	case 't':
+		opts.service_ms = atof(arg);
+		return 0;
+	case 'd':
+		opts.shape = !strcmp(arg, "exponential") ? EXPONENTIAL
+			     : !strcmp(arg, "lognormal") ? LOGNORMAL
+							 : FIXED;
+		return 0;
+	case 'w':
+		opts.cold_ms = atoi(arg);
+		return 0;
+	case 'f':
+		opts.cold_factor = atof(arg);
+		return 0;
+	case 'j':
+		opts.journal = arg;
+		return 0;
+	case 'e':
+		opts.no_echo = true;
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static const struct argp_option options[] = {
+	{ "port", 'p', "N", 0, "First port", 0 },
+	{ "count", 'n', "N", 0, "Servers, on consecutive ports", 0 },
+	{ "control", 'c', "N", 0, "Port of the control path", 0 },
+	{ "slots", 's', "N", 0, "Requests that a server runs at once", 0 },
+	{ "queue", 'q', "N", 0, "Requests that wait before others are shed",
+	  0 },
+	{ "body", 'b', "BYTES", 0, "Padding in a response", 0 },
+	{ "service-ms", 't', "MS", 0, "Mean or median service time", 0 },
+	{ "distribution", 'd', "NAME", 0, "fixed, exponential or lognormal",
+	  0 },
+	{ "cold-ms", 'w', "MS", 0, "Duration of a cold start", 0 },
+	{ "cold-factor", 'f', "X", 0, "Slowdown during a cold start", 0 },
+	{ "journal", 'j', "FILE", 0, "Append each execution to a file", 0 },
+	{ "no-echo", 'e', NULL, 0, "Do not echo Celeryglade-Attempt", 0 },
+	{ 0 }
+};
+
+static int start_servers(void)
+{
+	be.n = opts.count;
+	for (int i = 0; i < be.n; i++) {
+		struct server *s = &be.servers[i];
+
+		s->port = opts.port + i;
+		s->slow_factor = 1;
+		s->fault_share = 1;
+		s->echo = !opts.no_echo;
+		if (set_refuse(s, false)) {
+			fprintf(stderr, "backend: cannot listen on port %d\n",
+				s->port);
+			return -1;
+		}
+	}
+	return 0;
+}
+
+int main(int argc, char **argv)
+{
+	static const struct argp argp = {
+		options,
+		parse_opt,
+		NULL,
+		"Stand-in for backend servers (docs/platform-api.md)."
+		"\vPUT /control[?port=N] takes fault, share, slow_factor, "
+		"late_ms, refuse, draining, cold, echo, health (\"true\", "
+		"\"ok\", \"bad\") and health_lag_ms.",
+		NULL,
+		NULL,
+		NULL
+	};
+	struct MHD_Daemon *ctl;
+	int rc = EXIT_FAILURE;
+
+	argp_parse(&argp, argc, argv, 0, NULL, NULL);
+	sh_block_signals();
+	be.records = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					   record_free);
+	if (opts.journal)
+		be.journal =
+			open(opts.journal,
+			     O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+	ctl = sh_control_start((uint16_t)opts.control, control);
+	if (!ctl)
+		fprintf(stderr, "backend: cannot listen on port %d\n",
+			opts.control);
+	else if (!start_servers())
+		rc = EXIT_SUCCESS;
+	if (!rc)
+		sh_wait_for_signal();
+	for (int i = 0; i < be.n; i++)
+		set_refuse(&be.servers[i], true);
+	if (ctl)
+		MHD_stop_daemon(ctl);
+	return rc;
+}
--- /dev/null
+++ b/standins/platform.c
@@ -0,0 +1,671 @@
+/* Stand-in for the platform: the object API and the list of instances of
+ * docs/platform-api.md, with faults on order. */
+#include <argp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "support/http.h"
+
+#define MAX_VALUE     1048576
+#define LIST_CHECK_MS 50
+
+enum down {
+	UP,
+	DOWN_REFUSE,
+	DOWN_503,
+};
+
+struct object {
+	GBytes *body;
+	uint64_t version;
+};
+
+/* What the list showed from a point in time on. */
+struct shown {
+	int64_t at;
+	uint64_t version;
+	char *text;
+};
+
+struct rate {
+	int64_t second;
+	uint64_t total, now, last;
+};
+
+static struct {
+	GMutex lock;
+	GCond changed;
+	struct MHD_Daemon *http;
+	GHashTable *objects;
+	GHashTable *stale; /* The objects when stale reads were ordered. */
+	uint64_t version;
+	struct json_object *instances; /* Name to entry. */
+	struct json_object *missing; /* Names that the list leaves out. */
+	GPtrArray *history; /* struct shown, oldest first. */
+	struct shown *stale_shown;
+	enum down down;
+	int64_t slow_ms, list_lag_ms, limit_per_s, lose_writes;
+	double stale_objects, stale_list; /* Share of reads. */
+	struct rate reads, writes, watches;
+	uint64_t refused;
+	bool stopping;
+} pl;
+
+static struct {
+	int port, control;
+	char *instances;
+} opts = { .port = 8500, .control = 8501 };
+
+static void object_free(void *arg)
+{
+	struct object *o = arg;
+
+	g_bytes_unref(o->body);
+	g_free(o);
+}
+
+static void copy_object(gpointer key, gpointer value, gpointer table)
+{
+	struct object *o = value, *n = g_new(struct object, 1);
+
+	n->body = g_bytes_ref(o->body);
+	n->version = o->version;
+	g_hash_table_insert(table, g_strdup(key), n);
+}
+
+static GHashTable *new_objects(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+				     object_free);
+}
+
+static void roll(struct rate *r)
+{
+	int64_t s = sh_now() / 1000;
+
+	if (s == r->second)
+		return;
+	r->last = s == r->second + 1 ? r->now : 0;
+	r->now = 0;
+	r->second = s;
+}
+
+static void count(struct rate *r)
+{
+	roll(r);
+	r->now++;
+	r->total++;
+}
+
+static bool chance(double share)
+{
+	return share > 0 && g_random_double() < share;
+}
+
+/* Adds what the list is to show from now on. */
+static void render_list(void)
+{
+	struct json_object *root = json_object_new_object();
+	struct json_object *list = json_object_new_array();
+	struct shown *s = g_new0(struct shown, 1);
+
+	s->at = sh_now();
+	s->version = pl.history->len + 1;
+	json_object_object_add(root, "version",
+			       json_object_new_uint64(s->version));
+	json_object_object_foreach(pl.instances, name, entry) {
+		if (!json_object_object_get_ex(pl.missing, name, NULL))
+			json_object_array_add(list, json_object_get(entry));
+	}
+	json_object_object_add(root, "instances", list);
+	s->text = g_strdup(json_object_to_json_string(root));
+	json_object_put(root);
+	g_ptr_array_add(pl.history, s);
+	g_cond_broadcast(&pl.changed);
+}
+
+static struct shown *shown_now(void)
+{
+	int64_t until = sh_now() - pl.list_lag_ms;
+	guint i = pl.history->len - 1;
+
+	if (pl.stale_shown && chance(pl.stale_list))
+		return pl.stale_shown;
+	while (i > 0 && ((struct shown *)pl.history->pdata[i])->at > until)
+		i--;
+	return pl.history->pdata[i];
+}
+
+static struct object *find(const char *name)
+{
+	GHashTable *t =
+		pl.stale && chance(pl.stale_objects) ? pl.stale : pl.objects;
+
+	return g_hash_table_lookup(t, name);
+}
+
+static enum MHD_Result answer(struct MHD_Connection *c, unsigned int status)
+{
+	return sh_send(c, status, sh_response("", 0));
+}
+
+static struct MHD_Response *with_etag(struct MHD_Response *r, uint64_t version)
+{
+	char tag[32];
+
+	snprintf(tag, sizeof(tag), "\"%" G_GUINT64_FORMAT "\"", version);
+	MHD_add_response_header(r, MHD_HTTP_HEADER_ETAG, tag);
+	return r;
+}
+
+/* What a call sees: an object, or the list if there is no name. */
+struct view {
+	const char *name;
+	struct object *object;
+	struct shown *shown;
+	uint64_t version;
+};
+
+static void look(struct view *v)
+{
+	if (v->name) {
+		v->object = find(v->name);
+		v->version = v->object ? v->object->version : 0;
+	} else {
+		v->shown = shown_now();
+		v->version = v->shown->version;
+	}
+}
+
+/* Fills in @v, under the lock; a watch first waits until its version differs
+ * from the known one. Returns 0, or the status to answer with. */
+static unsigned int view(struct MHD_Connection *c, struct view *v)
+{
+	const char *w = sh_query(c, "watch"), *t = sh_query(c, "timeout_ms");
+	uint64_t known = w ? strtoull(w, NULL, 10) : 0;
+	int64_t until = sh_now() + (t ? atoll(t) : 0), left;
+
+	look(v);
+	while (w && v->version == known) {
+		left = until - sh_now();
+		if (left <= 0 || pl.stopping)
+			return MHD_HTTP_NOT_MODIFIED;
+		if (!v->name && left > LIST_CHECK_MS)
+			left = LIST_CHECK_MS;
+		g_cond_wait_until(&pl.changed, &pl.lock,
+				  g_get_monotonic_time() + left * 1000);
+		if (pl.down != UP)
+			return MHD_HTTP_SERVICE_UNAVAILABLE;
+		look(v);
+	}
+	return 0;
+}
+
+static enum MHD_Result get_object(struct MHD_Connection *c, const char *name)
+{
+	struct view v = { .name = name };
+	enum MHD_Result rc;
+	unsigned int status;
+
+	g_mutex_lock(&pl.lock);
+	status = view(c, &v);
+	if (!status && !v.object)
+		status = MHD_HTTP_NOT_FOUND;
+	if (status) {
+		rc = answer(c, status);
+	} else {
+		gsize n;
+		const char *d = g_bytes_get_data(v.object->body, &n);
+
+		rc = sh_send(c, MHD_HTTP_OK,
+			     with_etag(sh_response(d, n), v.version));
+	}
+	g_mutex_unlock(&pl.lock);
+	return rc;
+}
+
+static enum MHD_Result get_instances(struct MHD_Connection *c)
+{
+	struct view v = { 0 };
+	enum MHD_Result rc;
+	unsigned int status;
+
+	g_mutex_lock(&pl.lock);
+	status = view(c, &v);
+	if (status)
+		rc = answer(c, status);
+	else
+		rc = sh_send(c, MHD_HTTP_OK,
+			     with_etag(sh_response(v.shown->text,
+						   strlen(v.shown->text)),
+				       v.version));
+	g_mutex_unlock(&pl.lock);
+	return rc;
+}
+
+static gint by_name(gconstpointer a, gconstpointer b)
+{
+	return strcmp(a, b);
+}
+
+static enum MHD_Result list_objects(struct MHD_Connection *c)
+{
+	const char *prefix = sh_query(c, "prefix");
+	struct json_object *root = json_object_new_object();
+	struct json_object *list = json_object_new_array();
+	enum MHD_Result rc;
+	GList *names;
+	const char *s;
+
+	g_mutex_lock(&pl.lock);
+	names = g_list_sort(g_hash_table_get_keys(pl.objects), by_name);
+	for (GList *l = names; l; l = l->next) {
+		struct json_object *e;
+		struct object *o = find(l->data);
+
+		if (!o || (prefix && !g_str_has_prefix(l->data, prefix)))
+			continue;
+		e = json_object_new_object();
+		json_object_object_add(e, "name",
+				       json_object_new_string(l->data));
+		json_object_object_add(e, "version",
+				       json_object_new_uint64(o->version));
+		json_object_array_add(list, e);
+	}
+	g_list_free(names);
+	g_mutex_unlock(&pl.lock);
+	json_object_object_add(root, "objects", list);
+	s = json_object_to_json_string(root);
+	rc = sh_send(c, MHD_HTTP_OK, sh_response(s, strlen(s)));
+	json_object_put(root);
+	return rc;
+}
+
+/* Parses If-Match: "N". Returns 0 or -1. */
+static int parse_etag(const char *s, uint64_t *out)
+{
+	char *end;
+
+	if (!s || *s != '"')
+		return -1;
+	*out = strtoull(s + 1, &end, 10);
+	return strcmp(end, "\"") != 0 || end == s + 1 ? -1 : 0;
+}
+
+/* Executes a write under the lock. Returns the status. */
+static unsigned int write_object(struct MHD_Connection *c, const char *name,
+				 bool remove, GString *body, uint64_t *version)
+{
+	const char *none = sh_header(c, MHD_HTTP_HEADER_IF_NONE_MATCH);
+	const char *match = sh_header(c, MHD_HTTP_HEADER_IF_MATCH);
+	struct object *o = g_hash_table_lookup(pl.objects, name), *n;
+	uint64_t expected = 0;
+	bool create = none && !match && !strcmp(none, "*");
+
+	if (!create && (none || parse_etag(match, &expected)))
+		return MHD_HTTP_BAD_REQUEST;
+	if (create && remove)
+		return MHD_HTTP_BAD_REQUEST;
+	if (body->len > MAX_VALUE)
+		return MHD_HTTP_CONTENT_TOO_LARGE;
+	if (remove && !o)
+		return MHD_HTTP_NOT_FOUND;
+	if (create ? o != NULL : !o || o->version != expected)
+		return MHD_HTTP_PRECONDITION_FAILED;
+	pl.version++;
+	if (remove) {
+		g_hash_table_remove(pl.objects, name);
+	} else {
+		n = g_new(struct object, 1);
+		n->body = g_bytes_new(body->str, body->len);
+		*version = n->version = pl.version;
+		g_hash_table_insert(pl.objects, g_strdup(name), n);
+	}
+	g_cond_broadcast(&pl.changed);
+	if (remove)
+		return MHD_HTTP_NO_CONTENT;
+	return create ? MHD_HTTP_CREATED : MHD_HTTP_OK;
+}
+
+static enum MHD_Result do_write(struct MHD_Connection *c, const char *name,
+				bool remove, GString *body)
+{
+	struct MHD_Response *r;
+	uint64_t version = 0;
+	unsigned int status;
+	bool lose = false;
+
+	g_mutex_lock(&pl.lock);
+	status = write_object(c, name, remove, body, &version);
+	if (status < 300 && pl.lose_writes > 0) {
+		pl.lose_writes--;
+		lose = true;
+	}
+	g_mutex_unlock(&pl.lock);
+	if (lose)
+		return MHD_NO;
+	r = sh_response("", 0);
+	return sh_send(c, status, version ? with_etag(r, version) : r);
+}
+
+static bool valid_name(const char *s)
+{
+	return *s && s[strspn(s, "abcdefghijklmnopqrstuvwxyz"
+				 "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+				 "0123456789._-/")] == '\0';
+}
+
+/* Counts the call and applies faults that precede it. Returns a status to
+ * answer with, or 0 to go on. */
+static unsigned int admit(struct MHD_Connection *c, bool write)
+{
+	unsigned int status = 0;
+	int64_t slow;
+
+	g_mutex_lock(&pl.lock);
+	count(write		     ? &pl.writes
+	      : sh_query(c, "watch") ? &pl.watches
+				     : &pl.reads);
+	roll(&pl.reads);
+	roll(&pl.writes);
+	roll(&pl.watches);
+	if (pl.down != UP)
+		status = MHD_HTTP_SERVICE_UNAVAILABLE;
+	else if (pl.limit_per_s &&
+		 pl.reads.now + pl.writes.now + pl.watches.now >
+			 (uint64_t)pl.limit_per_s)
+		status = MHD_HTTP_TOO_MANY_REQUESTS;
+	if (status)
+		pl.refused++;
+	slow = pl.slow_ms;
+	g_mutex_unlock(&pl.lock);
+	for (int64_t end = sh_now() + slow; sh_now() < end && !pl.stopping;)
+		if (sh_closed_within(c, (int)MIN(50, end - sh_now())))
+			break;
+	return status;
+}
+
+static enum MHD_Result serve(void *arg, struct MHD_Connection *c,
+			     const char *path, const char *method,
+			     const char *version, const char *data,
+			     size_t *size, void **ctx)
+{
+	static const char dir[] = "/v1/objects/";
+	const char *name = path + sizeof(dir) - 1;
+	unsigned int status;
+	bool get, remove;
+
+	if (!sh_collect(ctx, data, size))
+		return MHD_YES;
+	get = !strcmp(method, "GET");
+	remove = !strcmp(method, "DELETE");
+	status = admit(c, !get);
+	if (status)
+		return answer(c, status);
+	if (get && !strcmp(path, "/v1/instances"))
+		return get_instances(c);
+	if (get && !strcmp(path, "/v1/objects"))
+		return list_objects(c);
+	if (!g_str_has_prefix(path, dir) || !valid_name(name))
+		return answer(c, MHD_HTTP_BAD_REQUEST);
+	if (get)
+		return get_object(c, name);
+	if (remove || !strcmp(method, "PUT"))
+		return do_write(c, name, remove, sh_body(ctx));
+	return answer(c, MHD_HTTP_BAD_REQUEST);
+}
+
+static int set_down(enum down d)
+{
+	struct MHD_Daemon *old = NULL;
+
+	g_mutex_lock(&pl.lock);
+	pl.down = d;
+	if (d == DOWN_REFUSE) {
+		old = pl.http;
+		pl.http = NULL;
+	}
+	g_cond_broadcast(&pl.changed);
+	g_mutex_unlock(&pl.lock);
+	if (old)
+		MHD_stop_daemon(old);
+	if (d != DOWN_REFUSE && !pl.http)
+		pl.http =
+			sh_listen((uint16_t)opts.port, NULL, NULL, serve, NULL);
+	return d == DOWN_REFUSE || pl.http ? 0 : -1;
+}
+
+/* Keeps the present state for stale reads, or drops it. */
+static void set_stale(struct json_object *in)
+{
+	sh_get_double(in, "stale_objects", &pl.stale_objects);
+	sh_get_double(in, "stale_list", &pl.stale_list);
+	if (pl.stale_objects > 0 && !pl.stale) {
+		pl.stale = new_objects();
+		g_hash_table_foreach(pl.objects, copy_object, pl.stale);
+	} else if (pl.stale_objects <= 0 && pl.stale) {
+		g_hash_table_destroy(pl.stale);
+		pl.stale = NULL;
+	}
+	if (pl.stale_list <= 0)
+		pl.stale_shown = NULL;
+	else if (!pl.stale_shown)
+		pl.stale_shown = pl.history->pdata[pl.history->len - 1];
+}
+
+static int set_faults(struct json_object *in)
+{
+	const char *down = sh_get_string(in, "down");
+	struct json_object *missing;
+
+	g_mutex_lock(&pl.lock);
+	sh_get_int(in, "slow_ms", &pl.slow_ms);
+	sh_get_int(in, "list_lag_ms", &pl.list_lag_ms);
+	sh_get_int(in, "limit_per_s", &pl.limit_per_s);
+	sh_get_int(in, "lose_writes", &pl.lose_writes);
+	set_stale(in);
+	if (json_object_object_get_ex(in, "missing", &missing)) {
+		json_object_put(pl.missing);
+		pl.missing = json_object_new_object();
+		for (size_t i = 0; i < json_object_array_length(missing); i++)
+			json_object_object_add(
+				pl.missing,
+				json_object_get_string(
+					json_object_array_get_idx(missing, i)),
+				NULL);
+		render_list();
+	}
+	g_mutex_unlock(&pl.lock);
+	if (!down)
+		return 0;
+	return set_down(!strcmp(down, "refuse") ? DOWN_REFUSE
+			: !strcmp(down, "503")	? DOWN_503
+						: UP);
+}
+
+/* Sets the state and start of an entry, under the lock. */
+static int change_entry(const char *name, const char *state, bool restart)
+{
+	struct json_object *e, *v;
+	int64_t started = 0;
+
+	if (!json_object_object_get_ex(pl.instances, name, &e))
+		return -1;
+	if (json_object_object_get_ex(e, "started", &v))
+		started = json_object_get_int64(v);
+	json_object_object_add(e, "state", json_object_new_string(state));
+	if (restart)
+		json_object_object_add(e, "started",
+				       json_object_new_int64(started + 1));
+	return 0;
+}
+
+static int add_entry(struct json_object *e)
+{
+	const char *name = sh_get_string(e, "name");
+
+	if (!name)
+		return -1;
+	json_object_object_del(e, "op");
+	if (!json_object_object_get_ex(e, "state", NULL))
+		json_object_object_add(e, "state",
+				       json_object_new_string("live"));
+	if (!json_object_object_get_ex(e, "started", NULL))
+		json_object_object_add(e, "started", json_object_new_int64(1));
+	json_object_object_add(pl.instances, name, json_object_get(e));
+	return 0;
+}
+
+/* {"op": "add" (with an entry's members), "leave", "remove" or "restart",
+ * "name": ...} */
+static int change_instances(struct json_object *in)
+{
+	const char *op = sh_get_string(in, "op");
+	const char *name = sh_get_string(in, "name");
+	int rc = -1;
+
+	if (!op || !name)
+		return -1;
+	g_mutex_lock(&pl.lock);
+	if (!strcmp(op, "add")) {
+		rc = add_entry(in);
+	} else if (!strcmp(op, "leave")) {
+		rc = change_entry(name, "leaving", false);
+	} else if (!strcmp(op, "restart")) {
+		rc = change_entry(name, "live", true);
+	} else if (!strcmp(op, "remove")) {
+		json_object_object_del(pl.instances, name);
+		rc = 0;
+	}
+	if (!rc)
+		render_list();
+	g_mutex_unlock(&pl.lock);
+	return rc;
+}
+
+static void show_rate(GString *s, const char *name, struct rate *r)
+{
+	roll(r);
+	g_string_append_printf(s,
+			       "\"%s\":%" G_GUINT64_FORMAT
+			       ",\"%s_last_second\":%" G_GUINT64_FORMAT ",",
+			       name, r->total, name, r->last);
+}
+
+static GString *show_state(void)
+{
+	GString *s = g_string_new("{");
+
+	g_mutex_lock(&pl.lock);
+	show_rate(s, "reads", &pl.reads);
+	show_rate(s, "writes", &pl.writes);
+	show_rate(s, "watches", &pl.watches);
+	g_string_append_printf(s,
+			       "\"refused\":%" G_GUINT64_FORMAT
+			       ",\"objects\":%u,\"list_version\":%u}\n",
+			       pl.refused, g_hash_table_size(pl.objects),
+			       pl.history->len);
+	g_mutex_unlock(&pl.lock);
+	return s;
+}
+
+static GString *control(struct MHD_Connection *c, const char *method,
+			const char *path, struct json_object *in)
+{
+	int rc = -1;
+
+	if (!strcmp(method, "GET"))
+		return strcmp(path, "/control") ? NULL : show_state();
+	if (in && !strcmp(path, "/control"))
+		rc = set_faults(in);
+	else if (in && !strcmp(path, "/control/instances"))
+		rc = change_instances(in);
+	return rc ? NULL : g_string_new("{}\n");
+}
+
+static int load_instances(const char *path)
+{
+	struct json_object *root = json_object_from_file(path), *list;
+	int rc = -1;
+
+	if (!root || !json_object_object_get_ex(root, "instances", &list))
+		goto out;
+	rc = 0;
+	for (size_t i = 0; !rc && i < json_object_array_length(list); i++)
+		rc = add_entry(json_object_array_get_idx(list, i));
+out:
+	json_object_put(root);
+	if (rc)
+		fprintf(stderr, "platform: cannot read instances from %s\n",
+			path);
+	return rc;
+}
+
+static error_t parse_opt(int key, char *arg, struct argp_state *state)
+{
+	switch (key) {
+	case 'p':
+		opts.port = atoi(arg);
+		return 0;
+	case 'c':
+		opts.control = atoi(arg);
+		return 0;
+	case 'i':
+		opts.instances = arg;
+		return 0;
+	case 'l':
+		pl.list_lag_ms = atoi(arg);
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+int main(int argc, char **argv)
+{
+	static const struct argp_option options[] = {
+		{ "port", 'p', "N", 0, "Port of the object API", 0 },
+		{ "control", 'c', "N", 0, "Port of the control path", 0 },
+		{ "instances", 'i', "FILE", 0,
+		  "List of instances to start with", 0 },
+		{ "list-lag", 'l', "MS", 0, "Lag of the list of instances", 0 },
+		{ 0 }
+	};
+	static const struct argp argp = {
+		options,
+		parse_opt,
+		NULL,
+		"Stand-in for the platform's object API (docs/platform-api.md)."
+		"\vPUT /control takes down (\"no\", \"refuse\", \"503\"), "
+		"slow_ms, lose_writes, stale_objects, stale_list, list_lag_ms, "
+		"limit_per_s and missing.",
+		NULL,
+		NULL,
+		NULL
+	};
+	struct MHD_Daemon *ctl;
+
+	argp_parse(&argp, argc, argv, 0, NULL, NULL);
+	sh_block_signals();
+	pl.objects = new_objects();
+	pl.history = g_ptr_array_new();
+	pl.instances = json_object_new_object();
+	pl.missing = json_object_new_object();
+	if (opts.instances && load_instances(opts.instances))
+		return EXIT_FAILURE;
+	render_list();
+	/* What the list shows at the start is not subject to the lag. */
+	((struct shown *)pl.history->pdata[0])->at = 0;
+	ctl = sh_control_start((uint16_t)opts.control, control);
+	if (!ctl || set_down(UP)) {
+		fprintf(stderr, "platform: cannot listen on port %d or %d\n",
+			opts.port, opts.control);
+		return EXIT_FAILURE;
+	}
+	sh_wait_for_signal();
+	pl.stopping = true;
+	set_down(DOWN_REFUSE);
+	MHD_stop_daemon(ctl);
+	return EXIT_SUCCESS;
+}
