Add the load tool

Cause: system tests and measurements need load whose every request can be joined with the executions that the backend servers counted.

Ruled out: neon with threads (one blocked thread per request under way distorts latencies at high rates), and a closed loop (a stalled daemon would reduce the load and hide its own latency). libcurl sends a request again by itself when a kept connection turns out closed; POST bodies come from a read function that cannot be rewound, so that it cannot.

--- a/Makefile
+++ b/Makefile
@@ -24,8 +24,9 @@
 STANDIN_SRC := $(sort $(wildcard standins/*.c))
 STANDIN_LIB_SRC := $(sort $(wildcard standins/support/*.c))
 BENCH_SRC := $(sort $(wildcard bench/*.c))
-OWN_SRC := $(LIB_SRC) src/celerygladed.c $(CTL_SRC) $(TEST_SRC) $(TEST_LIB_SRC) $(STANDIN_SRC) $(STANDIN_LIB_SRC) $(BENCH_SRC)
-OWN_HDR := $(sort $(wildcard include/*/*.h src/*/*.h tests/*.h tests/support/*.h standins/support/*.h bench/*.h))
+BENCH_LIB_SRC := $(sort $(wildcard bench/support/*.c))
+OWN_SRC := $(LIB_SRC) src/celerygladed.c $(CTL_SRC) $(TEST_SRC) $(TEST_LIB_SRC) $(STANDIN_SRC) $(STANDIN_LIB_SRC) $(BENCH_SRC) $(BENCH_LIB_SRC)
+OWN_HDR := $(sort $(wildcard include/*/*.h src/*/*.h tests/*.h tests/support/*.h standins/support/*.h bench/support/*.h))
 
 LIB_OBJ := $(LIB_SRC:%.c=$(B)/%.o) $(GEN_SRC:%.c=$(B)/%.o)
 PROGS := $(B)/celerygladed $(B)/celerygladectl
@@ -51,7 +52,7 @@
 	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS)
 $(B)/tests/test_%: $(B)/tests/test_%.o $(TEST_LIB_SRC:%.c=$(B)/%.o) $(B)/libceleryglade.a
 	$(CC) $(SANFLAGS) -o $@ $^ $(CMOCKA) $(CURL) $(LDLIBS)
-$(B)/bench/%: $(B)/bench/%.o $(B)/libceleryglade.a
+$(B)/bench/%: $(B)/bench/%.o $(BENCH_LIB_SRC:%.c=$(B)/%.o) $(B)/libceleryglade.a
 	$(CC) $(SANFLAGS) -o $@ $^ $(CURL) $(LDLIBS)
 
 # rpcgen's output does not meet the project's own warnings.
--- /dev/null
+++ b/bench/support/options.h
@@ -0,0 +1,52 @@
+/**
+ * @file options.h
+ * Command line of the load tool.
+ */
+#ifndef BENCH_OPTIONS_H
+#define BENCH_OPTIONS_H
+
+#include <glib.h>
+#include <stdatomic.h>
+#include <stdbool.h>
+
+#define MAX_TARGETS  512
+#define MAX_ACCOUNTS 64
+#define MAX_PATHS    16
+
+/** A client account with its key; the weight is its share of requests. */
+struct account {
+	char *name, *key;
+	double weight;
+};
+
+/** A daemon, or a server when the load goes straight to it. */
+struct target {
+	char *base; /**< "http://IP:PORT" */
+	char *admin; /**< "IP:PORT", or NULL if readiness is not checked. */
+	atomic_bool ready;
+};
+
+struct load_options {
+	struct target targets[MAX_TARGETS];
+	int n_targets, n_admins;
+	struct account accounts[MAX_ACCOUNTS];
+	int n_accounts;
+	double weights; /**< Sum over the accounts. */
+	char *get_paths[MAX_PATHS], *post_paths[MAX_PATHS];
+	int n_get, n_post;
+	double rate, seconds, post_share, keyed_share;
+	int connections, threads, timeout_ms, settle_ms, body, repeat;
+	guint32 seed;
+	GPtrArray *checks; /**< Sources of executions: URLs or files. */
+	char *json, *log;
+};
+
+extern struct load_options opts;
+
+/** Fills in opts; exits on a usage error. */
+void load_options_parse(int argc, char **argv);
+
+/** Returns the key of an account, "" if it has none. */
+const char *load_account_key(const char *name);
+
+#endif
