--- a/standins/platform.c
+++ b/standins/platform.c
@@ -9,6 +9,7 @@
 
 #define MAX_VALUE     1048576
 #define LIST_CHECK_MS 50
+#define MAX_LISTENERS 16
 
 enum down {
 	UP,
@@ -16,6 +17,14 @@
 	DOWN_503,
 };
 
+/* One of the ports that serve the same state, so that some daemons can be cut
+ * from the store while others reach it. */
+struct listener {
+	int port;
+	enum down down;
+	struct MHD_Daemon *http;
+};
+
 struct object {
 	GBytes *body;
 	uint64_t version;
@@ -36,7 +45,8 @@
 static struct {
 	GMutex lock;
 	GCond changed;
-	struct MHD_Daemon *http;
+	struct listener listeners[MAX_LISTENERS];
+	int n;
 	GHashTable *objects;
 	GHashTable *stale; /* The objects when stale reads were ordered. */
 	uint64_t version;
@@ -44,7 +54,6 @@
 	struct json_object *missing; /* Names that the list leaves out. */
 	GPtrArray *history; /* struct shown, oldest first. */
 	struct shown *stale_shown;
-	enum down down;
 	int64_t slow_ms, list_lag_ms, limit_per_s, lose_writes;
 	double stale_objects, stale_list; /* Share of reads. */
 	struct rate reads, writes, watches;
@@ -53,9 +62,9 @@
 } pl;
 
 static struct {
-	int port, control;
+	int port, count, control;
 	char *instances;
-} opts = { .port = 8500, .control = 8501 };
+} opts = { .port = 8500, .count = 1, .control = 8499 };
 
 static void object_free(void *arg)
 {
@@ -180,7 +189,8 @@
 
 /* Fills in @v, under the lock; a watch first waits until its version differs
  * from the known one. Returns 0, or the status to answer with. */
-static unsigned int view(struct MHD_Connection *c, struct view *v)
+static unsigned int view(struct MHD_Connection *c, struct listener *l,
+			 struct view *v)
 {
 	const char *w = sh_query(c, "watch"), *t = sh_query(c, "timeout_ms");
 	uint64_t known = w ? strtoull(w, NULL, 10) : 0;
@@ -195,21 +205,22 @@
 			left = LIST_CHECK_MS;
 		g_cond_wait_until(&pl.changed, &pl.lock,
 				  g_get_monotonic_time() + left * 1000);
-		if (pl.down != UP)
+		if (l->down != UP)
 			return MHD_HTTP_SERVICE_UNAVAILABLE;
 		look(v);
 	}
 	return 0;
 }
 
-static enum MHD_Result get_object(struct MHD_Connection *c, const char *name)
+static enum MHD_Result get_object(struct MHD_Connection *c, struct listener *l,
+				  const char *name)
 {
 	struct view v = { .name = name };
 	enum MHD_Result rc;
 	unsigned int status;
 
 	g_mutex_lock(&pl.lock);
-	status = view(c, &v);
+	status = view(c, l, &v);
 	if (!status && !v.object)
 		status = MHD_HTTP_NOT_FOUND;
 	if (status) {
@@ -225,14 +236,15 @@
 	return rc;
 }
 
-static enum MHD_Result get_instances(struct MHD_Connection *c)
+static enum MHD_Result get_instances(struct MHD_Connection *c,
+				     struct listener *l)
 {
 	struct view v = { 0 };
 	enum MHD_Result rc;
 	unsigned int status;
 
 	g_mutex_lock(&pl.lock);
-	status = view(c, &v);
+	status = view(c, l, &v);
 	if (status)
 		rc = answer(c, status);
 	else
@@ -358,7 +370,8 @@
 
 /* Counts the call and applies faults that precede it. Returns a status to
  * answer with, or 0 to go on. */
-static unsigned int admit(struct MHD_Connection *c, bool write)
+static unsigned int admit(struct MHD_Connection *c, struct listener *l,
+			  bool write)
 {
 	unsigned int status = 0;
 	int64_t slow;
@@ -370,7 +383,7 @@
 	roll(&pl.reads);
 	roll(&pl.writes);
 	roll(&pl.watches);
-	if (pl.down != UP)
+	if (l->down != UP)
 		status = MHD_HTTP_SERVICE_UNAVAILABLE;
 	else if (pl.limit_per_s &&
 		 pl.reads.now + pl.writes.now + pl.watches.now >
@@ -394,46 +407,56 @@
 	static const char dir[] = "/v1/objects/";
 	const char *name = path + sizeof(dir) - 1;
 	unsigned int status;
+	struct listener *l = arg;
 	bool get, remove;
 
 	if (!sh_collect(ctx, data, size))
 		return MHD_YES;
 	get = !strcmp(method, "GET");
 	remove = !strcmp(method, "DELETE");
-	status = admit(c, !get);
+	status = admit(c, l, !get);
 	if (status)
 		return answer(c, status);
 	if (get && !strcmp(path, "/v1/instances"))
-		return get_instances(c);
+		return get_instances(c, l);
 	if (get && !strcmp(path, "/v1/objects"))
 		return list_objects(c);
 	if (!g_str_has_prefix(path, dir) || !valid_name(name))
 		return answer(c, MHD_HTTP_BAD_REQUEST);
 	if (get)
-		return get_object(c, name);
+		return get_object(c, l, name);
 	if (remove || !strcmp(method, "PUT"))
 		return do_write(c, name, remove, sh_body(ctx));
 	return answer(c, MHD_HTTP_BAD_REQUEST);
 }
 
-static int set_down(enum down d)
+static int set_down(struct listener *l, enum down d)
 {
 	struct MHD_Daemon *old = NULL;
 
 	g_mutex_lock(&pl.lock);
-	pl.down = d;
+	l->down = d;
 	if (d == DOWN_REFUSE) {
-		old = pl.http;
-		pl.http = NULL;
+		old = l->http;
+		l->http = NULL;
 	}
 	g_cond_broadcast(&pl.changed);
 	g_mutex_unlock(&pl.lock);
 	if (old)
 		MHD_stop_daemon(old);
-	if (d != DOWN_REFUSE && !pl.http)
-		pl.http =
-			sh_listen((uint16_t)opts.port, NULL, NULL, serve, NULL);
-	return d == DOWN_REFUSE || pl.http ? 0 : -1;
+	if (d != DOWN_REFUSE && !l->http)
+		l->http = sh_listen((uint16_t)l->port, NULL, NULL, serve, l);
+	return d == DOWN_REFUSE || l->http ? 0 : -1;
+}
+
+static int set_all_down(int64_t port, enum down d)
+{
+	int rc = 0;
+
+	for (int i = 0; i < pl.n; i++)
+		if (!port || port == pl.listeners[i].port)
+			rc |= set_down(&pl.listeners[i], d);
+	return rc;
 }
 
 /* Keeps the present state for stale reads, or drops it. */
@@ -458,6 +481,7 @@
 {
 	const char *down = sh_get_string(in, "down");
 	struct json_object *missing;
+	int64_t port = 0;
 
 	g_mutex_lock(&pl.lock);
 	sh_get_int(in, "slow_ms", &pl.slow_ms);
@@ -479,9 +503,10 @@
 	g_mutex_unlock(&pl.lock);
 	if (!down)
 		return 0;
-	return set_down(!strcmp(down, "refuse") ? DOWN_REFUSE
-			: !strcmp(down, "503")	? DOWN_503
-						: UP);
+	sh_get_int(in, "port", &port);
+	return set_all_down(port, !strcmp(down, "refuse") ? DOWN_REFUSE
+				  : !strcmp(down, "503")  ? DOWN_503
+							  : UP);
 }
 
 /* Sets the state and start of an entry, under the lock. */
@@ -608,6 +633,11 @@
 	case 'p':
 		opts.port = atoi(arg);
 		return 0;
+	case 'n':
+		opts.count = atoi(arg);
+		if (opts.count < 1 || opts.count > MAX_LISTENERS)
+			argp_error(state, "1 to %d ports", MAX_LISTENERS);
+		return 0;
 	case 'c':
 		opts.control = atoi(arg);
 		return 0;
@@ -626,6 +656,7 @@
 {
 	static const struct argp_option options[] = {
 		{ "port", 'p', "N", 0, "Port of the object API", 0 },
+		{ "count", 'n', "N", 0, "Ports that serve the same state", 0 },
 		{ "control", 'c', "N", 0, "Port of the control path", 0 },
 		{ "instances", 'i', "FILE", 0,
 		  "List of instances to start with", 0 },
@@ -637,7 +668,7 @@
 		parse_opt,
 		NULL,
 		"Stand-in for the platform's object API (docs/platform-api.md)."
-		"\vPUT /control takes down (\"no\", \"refuse\", \"503\"), "
+		"\vPUT /control takes down (\"no\", \"refuse\", \"503\"; of one port if it has port), "
 		"slow_ms, lose_writes, stale_objects, stale_list, list_lag_ms, "
 		"limit_per_s and missing.",
 		NULL,
@@ -657,15 +688,18 @@
 	render_list();
 	/* What the list shows at the start is not subject to the lag. */
 	((struct shown *)pl.history->pdata[0])->at = 0;
+	pl.n = opts.count;
+	for (int i = 0; i < pl.n; i++)
+		pl.listeners[i].port = opts.port + i;
 	ctl = sh_control_start((uint16_t)opts.control, control);
-	if (!ctl || set_down(UP)) {
+	if (!ctl || set_all_down(0, UP)) {
 		fprintf(stderr, "platform: cannot listen on port %d or %d\n",
 			opts.port, opts.control);
 		return EXIT_FAILURE;
 	}
 	sh_wait_for_signal();
 	pl.stopping = true;
-	set_down(DOWN_REFUSE);
+	set_all_down(0, DOWN_REFUSE);
 	MHD_stop_daemon(ctl);
 	return EXIT_SUCCESS;
 }
