--- a/Makefile
+++ b/Makefile
@@ -52,7 +52,7 @@
 	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS)
 $(B)/tests/test_%: $(B)/tests/test_%.o $(TEST_LIB_SRC:%.c=$(B)/%.o) $(B)/libceleryglade.a
 	$(CC) $(SANFLAGS) -o $@ $^ $(CMOCKA) $(CURL) $(LDLIBS)
-$(B)/bench/%: $(B)/bench/%.o $(BENCH_LIB_SRC:%.c=$(B)/%.o) $(B)/libceleryglade.a
+$(B)/bench/%: $(B)/bench/%.o $(BENCH_LIB_SRC:%.c=$(B)/%.o) $(TEST_LIB_SRC:%.c=$(B)/%.o) $(B)/libceleryglade.a
 	$(CC) $(SANFLAGS) -o $@ $^ $(CURL) $(LDLIBS)
 
 # rpcgen's output does not meet the project's own warnings.
