Add rate decision modules: bucket, policy, holder, ledger

Ruled out: stop-and-wait deltas, which need a direction per grant number and cannot carry a decrease that crosses an increase. Both sides count totals instead; a holding is granted minus released. Change: token bucket that can be split and joined, max-min policy, holder, ledger with survey and import.

--- /dev/null
+++ b/src/control/rate_holder.c
@@ -0,0 +1,328 @@
+#include "celeryglade/rate_holder.h"
+
+#include <string.h>
+
+#include "celeryglade/rate_policy.h"
+
+/* Arrivals are smoothed over about 2 s: long enough for Poisson noise at a few
+ * requests per second, short against the 5 s after which holdings are moved. */
+#define INTERVAL_MS 500
+#define SMOOTHING   4
+/* An account without arrivals for this time returns its holding. */
+#define IDLE_MS	     5000
+#define KEEPALIVE_MS 5000
+#define REPORT_MS    1000
+#define RETRY_MS     1000
+#define RETRY_MAX_MS 8000
+#define FORGET_MS    30000
+
+void cg_rate_holding_init(struct cg_rate_holding *h, cg_ms now,
+			  uint64_t past_session, int64_t rate, int64_t burst)
+{
+	memset(h, 0, sizeof(*h));
+	cg_rate_bucket_init(&h->bucket, now);
+	h->past_session = past_session;
+	h->rate = rate;
+	h->burst = burst;
+	h->lease_until = CG_MS_NEVER;
+	h->interval_at = now;
+	h->arrived_at = now;
+	h->asked_at = -CG_MS_NEVER;
+	h->answered_at = -CG_MS_NEVER;
+}
+
+static void count_interval(struct cg_rate_holding *h, cg_ms now)
+{
+	cg_ms passed = (now - h->interval_at) / INTERVAL_MS;
+
+	if (passed <= 0)
+		return;
+	for (cg_ms i = 0; i < passed && i < 64; i++) {
+		int64_t seen = i ? 0 : h->arrivals * 1000 * 1000 / INTERVAL_MS;
+
+		h->demand += (seen - h->demand) / SMOOTHING;
+	}
+	if (passed >= 64)
+		h->demand = 0;
+	h->arrivals = 0;
+	h->interval_at += passed * INTERVAL_MS;
+}
+
+static void end_session(struct cg_rate_holding *h, cg_ms now)
+{
+	if (h->session > h->past_session)
+		h->past_session = h->session;
+	h->session = 0;
+	h->number = 0;
+	h->granted = (struct cg_rate_share){ 0 };
+	h->released = (struct cg_rate_share){ 0 };
+	h->lease_until = CG_MS_NEVER;
+	h->closing = false;
+	h->to_report = false;
+	h->unanswered = 0;
+	cg_rate_bucket_init(&h->bucket, now);
+}
+
+static void release(struct cg_rate_holding *h, cg_ms now,
+		    const struct cg_rate_share *want)
+{
+	struct cg_rate_share out;
+
+	cg_rate_bucket_split(&h->bucket, now, want, &out);
+	h->released.right += out.right;
+	h->released.cap += out.cap;
+	h->released.tokens += out.tokens;
+	if (out.right || out.cap)
+		h->to_report = true;
+}
+
+/* Releases down to the given right and capacity, with the tokens of the
+ * released capacity. */
+static void release_to(struct cg_rate_holding *h, cg_ms now, int64_t right,
+		       int64_t cap)
+{
+	struct cg_rate_share want = { 0 };
+
+	cg_rate_bucket_refill(&h->bucket, now);
+	if (h->bucket.have.right > right)
+		want.right = h->bucket.have.right - right;
+	if (h->bucket.have.cap > cap)
+		want.cap = h->bucket.have.cap - cap;
+	want.tokens = cg_rate_part(h->bucket.have.tokens, want.cap,
+				   h->bucket.have.cap);
+	release(h, now, &want);
+}
+
+void cg_rate_holding_close(struct cg_rate_holding *h, cg_ms now)
+{
+	cg_rate_holding_lapse(h, now);
+	if (!h->session)
+		return;
+	release_to(h, now, 0, 0);
+	h->closing = true;
+}
+
+void cg_rate_holding_lapse(struct cg_rate_holding *h, cg_ms now)
+{
+	if (!h->session || h->lease_until == CG_MS_NEVER ||
+	    now < h->lease_until)
+		return;
+	/* If an ask is unanswered, the coordinator may have lifted the time
+	 * limit in the lost answer, so it must be told. */
+	if (h->closing || h->unanswered) {
+		release_to(h, now, 0, 0);
+		h->closing = true;
+	} else {
+		end_session(h, now);
+	}
+}
+
+bool cg_rate_holding_take_waiting(struct cg_rate_holding *h, cg_ms now)
+{
+	cg_rate_holding_lapse(h, now);
+	return cg_rate_bucket_take(&h->bucket, now, CG_RATE_ONE);
+}
+
+enum cg_rate_verdict cg_rate_holding_take(struct cg_rate_holding *h, cg_ms now)
+{
+	count_interval(h, now);
+	h->arrivals++;
+	h->arrived_at = now;
+	if (cg_rate_holding_take_waiting(h, now))
+		return CG_RATE_TAKE_ADMIT;
+	if (now < h->deny_until) {
+		h->refused++;
+		return CG_RATE_TAKE_REFUSE;
+	}
+	return CG_RATE_TAKE_ASK;
+}
+
+static cg_ms retry_after(const struct cg_rate_holding *h)
+{
+	cg_ms ms = RETRY_MS;
+
+	for (uint32_t i = 1; i < h->unanswered && ms < RETRY_MAX_MS; i++)
+		ms *= 2;
+	return ms;
+}
+
+bool cg_rate_holding_due(struct cg_rate_holding *h, cg_ms now)
+{
+	cg_ms since;
+	int64_t change;
+
+	count_interval(h, now);
+	cg_rate_holding_lapse(h, now);
+	if (!h->session)
+		return false;
+	if (!h->closing && h->lease_until == CG_MS_NEVER &&
+	    now - h->arrived_at >= IDLE_MS)
+		cg_rate_holding_close(h, now);
+	since = h->asked_at == -CG_MS_NEVER ? CG_MS_NEVER : now - h->asked_at;
+	if (h->unanswered)
+		return since >= retry_after(h);
+	if (h->closing)
+		return since >= REPORT_MS || h->to_report;
+	if (h->lease_until != CG_MS_NEVER)
+		return h->bucket.have.right > 0 &&
+		       now - h->arrived_at < IDLE_MS &&
+		       h->lease_until - now < h->lease_ms * 2 / 3;
+	if (since < REPORT_MS)
+		return false;
+	change = h->demand - h->told_demand;
+	if (change < 0)
+		change = -change;
+	return h->to_report || since >= KEEPALIVE_MS ||
+	       change > h->told_demand / 4 + CG_RATE_HOLDING_DEMAND;
+}
+
+void cg_rate_holding_ask(struct cg_rate_holding *h, cg_ms now, int64_t need,
+			 struct cg_rate_ask *out)
+{
+	int64_t partial;
+
+	count_interval(h, now);
+	cg_rate_holding_lapse(h, now);
+	/* Arrivals of the running interval count once they exceed what the
+	 * smoothed demand explains, so that a new load is seen at once. */
+	partial = h->arrivals * 1000 / SMOOTHING;
+	*out = (struct cg_rate_ask){
+		.session = h->session,
+		.past_session = h->past_session,
+		.number = h->number,
+		.released = h->released,
+		.demand = h->demand > partial ? h->demand : partial,
+		.need = need,
+		.final = h->closing && !need,
+	};
+	h->asked_at = now;
+	h->told_demand = out->demand;
+	h->to_report = false;
+	h->unanswered++;
+}
+
+static int begin_session(struct cg_rate_holding *h, cg_ms now, cg_ms sent,
+			 const struct cg_rate_answer *a)
+{
+	if (a->session <= h->past_session)
+		return -1;
+	/* A new session never replaces one that holds something. */
+	if (h->session && !h->closing)
+		return -1;
+	if (a->lease_ms && sent + a->lease_ms <= now)
+		return -1;
+	end_session(h, now);
+	h->session = a->session;
+	h->past_session = a->session - 1;
+	h->lease_until = a->lease_ms ? sent + a->lease_ms : CG_MS_NEVER;
+	return 0;
+}
+
+static void apply_grant(struct cg_rate_holding *h, cg_ms now,
+			const struct cg_rate_answer *a)
+{
+	struct cg_rate_share in = {
+		.right = a->granted.right - h->granted.right,
+		.cap = a->granted.cap - h->granted.cap,
+		.tokens = a->granted.tokens - h->granted.tokens,
+	};
+
+	/* A newer grant may have overtaken this one. */
+	if (a->number <= h->number)
+		return;
+	cg_rate_bucket_join(&h->bucket, now, &in);
+	h->granted = a->granted;
+	h->number = a->number;
+}
+
+static void apply_lease(struct cg_rate_holding *h, cg_ms sent,
+			const struct cg_rate_answer *a)
+{
+	h->lease_ms = a->lease_ms;
+	if (!a->lease_ms)
+		h->lease_until = CG_MS_NEVER;
+	else if (h->lease_until != CG_MS_NEVER &&
+		 h->lease_until < sent + a->lease_ms)
+		h->lease_until = sent + a->lease_ms;
+}
+
+int cg_rate_holding_apply(struct cg_rate_holding *h, cg_ms now, cg_ms sent,
+			  const struct cg_rate_answer *a)
+{
+	bool latest = sent == h->asked_at;
+
+	cg_rate_holding_lapse(h, now);
+	h->answered_at = now;
+	if (latest)
+		h->deny_until = a->retry_ms ? now + a->retry_ms : 0;
+	switch (a->status) {
+	case CG_RATE_STATUS_NOT_READY:
+	case CG_RATE_STATUS_NOT_OWNER:
+		return 0;
+	case CG_RATE_STATUS_CLOSED:
+		if (!h->session || a->session != h->session)
+			return -1;
+		end_session(h, now);
+		return 0;
+	case CG_RATE_STATUS_OK:
+		break;
+	}
+	if (!a->session)
+		return 0;
+	if (a->session != h->session && begin_session(h, now, sent, a))
+		return -1;
+	apply_grant(h, now, a);
+	apply_lease(h, sent, a);
+	if (latest)
+		h->unanswered = 0;
+	if (h->closing) {
+		if (now - h->arrived_at < IDLE_MS && latest)
+			h->closing = false;
+		else
+			release_to(h, now, 0, 0);
+	} else if (latest && a->keep_right >= 0) {
+		release_to(h, now, a->keep_right, a->keep_cap);
+	}
+	return 0;
+}
+
+void cg_rate_holding_scale(struct cg_rate_holding *h, cg_ms now, int64_t rate,
+			   int64_t burst)
+{
+	cg_rate_holding_lapse(h, now);
+	cg_rate_bucket_refill(&h->bucket, now);
+	if (h->session && (rate < h->rate || burst < h->burst))
+		release_to(h, now,
+			   cg_rate_part(h->bucket.have.right, rate, h->rate),
+			   cg_rate_part(h->bucket.have.cap, burst, h->burst));
+	h->rate = rate;
+	h->burst = burst;
+}
+
+bool cg_rate_holding_rebase(struct cg_rate_holding *h, cg_ms now,
+			    uint64_t epoch)
+{
+	uint64_t base = cg_rate_session_base(epoch);
+	struct cg_rate_bucket kept;
+
+	cg_rate_holding_lapse(h, now);
+	if (h->session && h->session < base) {
+		kept = h->bucket;
+		if (h->lease_until != CG_MS_NEVER || h->closing)
+			end_session(h, now);
+		if (h->session) {
+			end_session(h, now);
+			h->bucket = kept;
+			h->session = base;
+			h->granted = kept.have;
+		}
+	}
+	if (h->past_session < base && h->session != base)
+		h->past_session = base;
+	return h->session == base;
+}
+
+bool cg_rate_holding_unused(const struct cg_rate_holding *h, cg_ms now)
+{
+	return !h->session && now - h->arrived_at >= FORGET_MS;
+}
--- /dev/null
+++ b/src/control/rate_survey.c
@@ -0,0 +1,180 @@
+/* Rebuilding a ledger after a change of coordinator: by a survey of all
+ * holders, or by importing the previous coordinator's ledger. */
+#include "celeryglade/rate_ledger.h"
+
+#include <string.h>
+
+static char *party_key(const char *name, uint64_t incarnation)
+{
+	return g_strdup_printf("%s %" G_GUINT64_FORMAT, name, incarnation);
+}
+
+static void activate(struct cg_rate_ledger *l, cg_ms now)
+{
+	l->state = CG_RATE_LEDGER_ACTIVE;
+	g_hash_table_remove_all(l->surveyed);
+}
+
+static struct cg_rate_ledger_account *
+prepare_account(struct cg_rate_ledger *l, const struct cg_rate_terms *t)
+{
+	struct cg_rate_ledger_account *a = cg_rate_ledger_find(l, t->name);
+
+	if (a)
+		return a;
+	a = g_new0(struct cg_rate_ledger_account, 1);
+	g_strlcpy(a->name, t->name, sizeof(a->name));
+	a->rate = t->rate;
+	a->burst = t->burst;
+	CDS_INIT_LIST_HEAD(&a->records);
+	g_hash_table_insert(l->accounts, a->name, a);
+	return a;
+}
+
+static bool has_record(const struct cg_rate_ledger_account *a,
+		       const struct cg_rate_party *who)
+{
+	struct cg_rate_record *r;
+
+	cds_list_for_each_entry(r, &a->records, node)
+		if (!strcmp(r->holder.name, who->name) &&
+		    r->holder.incarnation == who->incarnation)
+			return true;
+	return false;
+}
+
+static void add(struct cg_rate_ledger_account *a,
+		const struct cg_rate_record *from)
+{
+	struct cg_rate_record *r = g_memdup2(from, sizeof(*from));
+
+	cds_list_add_tail(&r->node, &a->records);
+	a->record_count++;
+	a->out_right += cg_rate_record_right(r);
+	a->out_cap += cg_rate_record_cap(r) + r->withheld;
+}
+
+void cg_rate_ledger_survey_add(struct cg_rate_ledger *l, cg_ms now,
+			       const struct cg_rate_terms *t,
+			       const struct cg_rate_party *who,
+			       const struct cg_rate_share *granted,
+			       const struct cg_rate_share *released)
+{
+	struct cg_rate_record r = {
+		.holder = *who,
+		.session = cg_rate_session_base(l->epoch),
+		.granted = *granted,
+		.released = *released,
+		.lease_until = CG_MS_NEVER,
+		.heard_at = now,
+		.demand = granted->right - released->right,
+	};
+	struct cg_rate_ledger_account *a;
+
+	if (l->state != CG_RATE_LEDGER_SURVEY ||
+	    cg_rate_ledger_survey_answered(l, who->name, who->incarnation))
+		return;
+	a = prepare_account(l, t);
+	if (!has_record(a, who))
+		add(a, &r);
+}
+
+void cg_rate_ledger_survey_done(struct cg_rate_ledger *l,
+				const struct cg_rate_party *who)
+{
+	if (l->state == CG_RATE_LEDGER_SURVEY)
+		g_hash_table_add(l->surveyed,
+				 party_key(who->name, who->incarnation));
+}
+
+bool cg_rate_ledger_survey_answered(const struct cg_rate_ledger *l,
+				    const char *name, uint64_t incarnation)
+{
+	char *key = party_key(name, incarnation);
+	bool found = g_hash_table_contains(l->surveyed, key);
+
+	g_free(key);
+	return found;
+}
+
+/* Sets every pool to what the records leave, without tokens: the previous
+ * coordinator may have granted all that it had. */
+static void start_pools(struct cg_rate_ledger *l, cg_ms now)
+{
+	struct cg_rate_ledger_account *a;
+	GHashTableIter it;
+
+	g_hash_table_iter_init(&it, l->accounts);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&a)) {
+		int64_t right = a->rate - a->out_right;
+		int64_t cap = a->burst - a->out_cap;
+
+		cg_rate_bucket_init(&a->pool, now);
+		cg_rate_bucket_resize(&a->pool, now, right > 0 ? right : 0,
+				      cap > 0 ? cap : 0);
+	}
+}
+
+void cg_rate_ledger_survey_check(struct cg_rate_ledger *l, cg_ms now,
+				 bool all_answered)
+{
+	cg_ms wait = l->unlisted_lease_ms + l->unlisted_lease_ms / 64 + 1;
+
+	if (l->state != CG_RATE_LEDGER_SURVEY || !all_answered)
+		return;
+	/* The previous coordinator has stopped by now, since it is one of the
+	 * members that answered or are gone; leases that it gave end within
+	 * the wait. */
+	if (l->complete_at == CG_MS_NEVER)
+		l->complete_at = now;
+	if (now - l->complete_at < wait)
+		return;
+	l->active_at = now;
+	l->from_full = false;
+	start_pools(l, now);
+	activate(l, now);
+}
+
+void cg_rate_ledger_import(struct cg_rate_ledger *l, cg_ms now,
+			   const struct cg_rate_terms *t,
+			   const struct cg_rate_record *r)
+{
+	struct cg_rate_ledger_account *a;
+
+	if (l->state != CG_RATE_LEDGER_SURVEY)
+		return;
+	a = prepare_account(l, t);
+	if (!has_record(a, &r->holder))
+		add(a, r);
+}
+
+void cg_rate_ledger_import_pool(struct cg_rate_ledger *l, cg_ms now,
+				const struct cg_rate_terms *t, int64_t tokens)
+{
+	struct cg_rate_ledger_account *a;
+
+	if (l->state != CG_RATE_LEDGER_SURVEY)
+		return;
+	a = prepare_account(l, t);
+	cg_rate_bucket_init(&a->pool, now);
+	a->pool.have.cap = a->burst;
+	a->pool.have.tokens = tokens;
+}
+
+void cg_rate_ledger_import_done(struct cg_rate_ledger *l, cg_ms now)
+{
+	struct cg_rate_ledger_account *a;
+	GHashTableIter it;
+
+	if (l->state != CG_RATE_LEDGER_SURVEY)
+		return;
+	g_hash_table_iter_init(&it, l->accounts);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&a)) {
+		int64_t right = a->rate - a->out_right;
+		int64_t cap = a->burst - a->out_cap;
+
+		cg_rate_bucket_resize(&a->pool, now, right > 0 ? right : 0,
+				      cap > 0 ? cap : 0);
+	}
+	activate(l, now);
+}
--- /dev/null
+++ b/tests/test_rate_policy.c
@@ -0,0 +1,109 @@
+/* Guards against a division that starves a small holder, leaves rights unused
+ * or gives out more than there is. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include "celeryglade/rate_policy.h"
+
+static void level_is_max_min(void **state)
+{
+	int64_t d[] = { 10, 20, 300, 400 };
+	int64_t same[] = { 50, 50, 50 };
+
+	assert_int_equal(cg_rate_policy_level(d, 4, 1000), INT64_MAX);
+	assert_int_equal(cg_rate_policy_level(d, 4, 230), 100);
+	assert_int_equal(cg_rate_policy_level(d, 4, 630), 300);
+	assert_int_equal(cg_rate_policy_level(d, 4, 20), 5);
+	assert_int_equal(cg_rate_policy_level(same, 3, 90), 30);
+	assert_int_equal(cg_rate_policy_level(d, 4, 0), 0);
+	assert_int_equal(cg_rate_policy_level(d, 0, 10), INT64_MAX);
+}
+
+static void targets_never_exceed_the_rate(void **state)
+{
+	uint32_t seed = 3;
+
+	for (int round = 0; round < 3000; round++) {
+		int64_t of[48], right = 0, cap = 0;
+		struct cg_rate_demands d = { .of = of, .n = 48 };
+
+		seed = seed * 1664525 + 1013904223;
+		d.rate = 1000 + (seed >> 4) % 1000000;
+		d.burst = 1000 + (seed >> 9) % 2000000;
+		for (size_t i = 0; i < d.n; i++) {
+			seed = seed * 1664525 + 1013904223;
+			of[i] = (seed >> 8) % (seed >> 30 ? 3000 : 900000);
+		}
+		for (size_t i = 0; i < d.n; i++) {
+			struct cg_rate_share t;
+
+			cg_rate_policy_target(&d, of[i], seed & 1, &t);
+			assert_true(!t.right || t.cap >= CG_RATE_ONE);
+			right += t.right;
+			cap += t.cap;
+		}
+		assert_true(right <= d.rate - d.rate / 8);
+		assert_true(cap <= d.burst - d.burst / 8);
+	}
+}
+
+static void small_holder_keeps_its_demand_beside_a_large_one(void **state)
+{
+	int64_t of[] = { 5000, 1000000 };
+	struct cg_rate_demands d = {
+		.rate = 80000, .burst = 80000, .of = of, .n = 2
+	};
+	struct cg_rate_share small, large;
+
+	cg_rate_policy_target(&d, of[0], false, &small);
+	cg_rate_policy_target(&d, of[1], false, &large);
+	assert_int_equal(small.right, 5000);
+	assert_int_equal(large.right, 65000);
+}
+
+static void spare_follows_demand(void **state)
+{
+	int64_t of[] = { 10000, 20000 };
+	struct cg_rate_demands d = {
+		.rate = 80000, .burst = 16000, .of = of, .n = 2
+	};
+	struct cg_rate_share a, b;
+
+	cg_rate_policy_target(&d, of[0], false, &a);
+	cg_rate_policy_target(&d, of[1], false, &b);
+	assert_int_equal(a.right, 23333);
+	assert_int_equal(b.right, 46666);
+	assert_int_equal(b.cap / 100, 93);
+}
+
+/* A capacity below one request would never admit any. */
+static void too_small_capacity_is_not_held(void **state)
+{
+	int64_t of[20];
+	struct cg_rate_demands d = {
+		.rate = 100000, .burst = 10000, .of = of, .n = 20
+	};
+	struct cg_rate_share t;
+
+	for (int i = 0; i < 20; i++)
+		of[i] = 2000;
+	cg_rate_policy_target(&d, of[0], false, &t);
+	assert_int_equal(t.right, 0);
+	assert_int_equal(t.cap, 0);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(level_is_max_min),
+		cmocka_unit_test(targets_never_exceed_the_rate),
+		cmocka_unit_test(
+			small_holder_keeps_its_demand_beside_a_large_one),
+		cmocka_unit_test(spare_follows_demand),
+		cmocka_unit_test(too_small_capacity_is_not_held),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
