--- a/include/internal/shard_map.h
+++ b/include/internal/shard_map.h
@@ -11,7 +11,7 @@
 #include "internal/jsonc.h"
 #include "internal/members.h"
 
-#define CG_SHARDS_OBJECT  "shards/map"
+#define CG_SHARDS_OBJECT     "shards/map"
 #define CG_MAP_WRITE_ID_SIZE 33
 
 /** One shard of the map. */
--- a/src/control/doc_fetch.c
+++ b/src/control/doc_fetch.c
@@ -7,7 +7,7 @@
 /* The store's values have at most 1 MB; a list may be somewhat larger. */
 #define MAX_DOC_BYTES ((1 << 20) + (64 << 10))
 /* The peer may adopt another version while its copy is being fetched. */
-#define MAX_RESTARTS  3
+#define MAX_RESTARTS 3
 
 void cg_content_digest(GBytes *content, uint8_t out[CG_DIGEST_SIZE])
 {
--- a/src/control/docs.c
+++ b/src/control/docs.c
@@ -19,18 +19,18 @@
 
 /* A watch ends after this time, so that watchers confirm freshness at least
  * that often; key_isolation_ms defaults to five times as much. */
-#define WATCH_MS	  1000
-#define WATCHERS_PER_FD	  2
-#define BACKOFF_FIRST_MS  250
-#define BACKOFF_MAX_MS	  5000
-#define EMPTY_RETRY_MS	  1000
-#define MAX_OFFERS	  4
-#define MAX_LISTENERS	  16
-#define PART_PEERS	  3
+#define WATCH_MS	 1000
+#define WATCHERS_PER_FD	 2
+#define BACKOFF_FIRST_MS 250
+#define BACKOFF_MAX_MS	 5000
+#define EMPTY_RETRY_MS	 1000
+#define MAX_OFFERS	 4
+#define MAX_LISTENERS	 16
+#define PART_PEERS	 3
 /* Map and list change rarely and gossip tells their versions, so that most
  * polls go to the root, on which the freshness of keys rests. */
-#define SLOW_POLL_FACTOR  3
-#define FETCH_TIMEOUT_MS  600
+#define SLOW_POLL_FACTOR 3
+#define FETCH_TIMEOUT_MS 600
 
 struct replica {
 	struct cg_docs *d;
@@ -257,8 +257,8 @@
 	g_free(d->old_refs);
 	d->old_refs = d->refs;
 	d->old_ref_count = d->ref_count;
-	d->refs = g_memdup2(root->parts,
-			    root->part_count * sizeof(*root->parts));
+	d->refs =
+		g_memdup2(root->parts, root->part_count * sizeof(*root->parts));
 	d->ref_count = root->part_count;
 	move_parts(d, kept, d->old_refs, d->old_ref_count);
 	move_parts(d, kept, d->refs, d->ref_count);
@@ -895,8 +895,8 @@
 		return -1;
 	r = &d->replicas[q.doc];
 	pthread_mutex_lock(&r->lock);
-	if (r->content && (!q.content_version ||
-			   q.content_version == r->version)) {
+	if (r->content &&
+	    (!q.content_version || q.content_version == r->version)) {
 		content = g_bytes_ref(r->content);
 		a.content_version = r->version;
 		a.store_version = r->store_version;
--- /dev/null
+++ b/src/control/gossip.c
@@ -0,0 +1,329 @@
+#define CG_PART "gossip"
+#include "internal/gossip.h"
+
+#include <arpa/inet.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "gossip_wire.h"
+#include "internal/logging.h"
+
+/* Each lane calls one random member per period and waits for its reply, so
+ * that unreachable members delay neither the other lanes nor other modules'
+ * calls. */
+#define LANES	      3
+#define PUSH_MEMBERS  4
+#define PUSH_HEARD_MS 10000
+#define NO_EVIDENCE   UINT32_MAX
+
+struct cg_gossip {
+	const struct cg_settings *settings;
+	struct cg_clock *clk;
+	struct cg_peer *peer;
+	struct cg_members *members;
+	struct cg_docs *docs;
+	struct cg_notices *notices;
+	_Atomic size_t next_age; /* Where the next reply's ages start. */
+	pthread_mutex_t lock;
+	pthread_cond_t wake;
+	bool stopping;
+	pthread_t lanes[LANES];
+	int lane_count;
+};
+
+struct cg_gossip *cg_gossip_new(const struct cg_settings *s,
+				struct cg_clock *clk, struct cg_peer *peer,
+				struct cg_members *members,
+				struct cg_docs *docs,
+				struct cg_notices *notices)
+{
+	struct cg_gossip *g = g_new0(struct cg_gossip, 1);
+	pthread_condattr_t attr;
+
+	g->settings = s;
+	g->clk = clk;
+	g->peer = peer;
+	g->members = members;
+	g->docs = docs;
+	g->notices = notices;
+	pthread_mutex_init(&g->lock, NULL);
+	pthread_condattr_init(&attr);
+	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
+	pthread_cond_init(&g->wake, &attr);
+	pthread_condattr_destroy(&attr);
+	return g;
+}
+
+void cg_gossip_free(struct cg_gossip *g)
+{
+	if (!g)
+		return;
+	pthread_cond_destroy(&g->wake);
+	pthread_mutex_destroy(&g->lock);
+	g_free(g);
+}
+
+/* Adds what only a reply may carry, see gossip.h. */
+static void add_evidence(struct cg_gossip *g, cg_x_gossip *x)
+{
+	uint64_t version;
+	cg_ms at;
+	cg_ms age;
+
+	x->fresh_age_ms = NO_EVIDENCE;
+	if (cg_docs_evidence(g->docs, &version, &at))
+		return;
+	age = MAX(cg_clock_now(g->clk) - at, 0);
+	if (age >= NO_EVIDENCE)
+		return;
+	x->fresh_version = version;
+	x->fresh_age_ms = (uint32_t)age;
+}
+
+/* Fills the rest of the datagram with ages. A fleet whose ages don't fit is
+ * covered by successive replies. */
+static void add_ages(struct cg_gossip *g, cg_x_gossip *x, size_t room,
+		     uint8_t *codes)
+{
+	size_t listed = cg_members_listed(g->members);
+	size_t max = MIN(room, CG_X_GOSSIP_AGES);
+	size_t first = 0;
+	size_t count;
+	uint64_t set = 0;
+
+	if (!listed || !max)
+		return;
+	if (listed > max * 2)
+		first = atomic_fetch_add(&g->next_age, max * 2) % listed;
+	count = cg_members_ages(g->members, first, codes, max, &set);
+	x->ages.set = set;
+	x->ages.first = (u_int)first;
+	x->ages.count = (u_int)count;
+	x->ages.codes.codes_len = (u_int)((count + 1) / 2);
+	x->ages.codes.codes_val = (char *)codes;
+}
+
+static int build(struct cg_gossip *g, bool reply, GByteArray *out)
+{
+	uint8_t codes[CG_X_GOSSIP_AGES];
+	cg_x_notice notices[CG_X_GOSSIP_NOTICES];
+	struct cg_member self;
+	cg_x_gossip x = { 0 };
+	size_t count;
+	int rc;
+
+	cg_members_self(g->members, &self);
+	x.instance = self.name;
+	x.incarnation = self.incarnation;
+	x.ip = ntohl(self.addr.sin_addr.s_addr);
+	x.port = ntohs(self.addr.sin_port);
+	x.failure_domain = self.failure_domain;
+	x.region = self.region;
+	for (int i = 0; i < CG_DOC_COUNT; i++)
+		x.versions[i] = cg_docs_version(g->docs, (enum cg_doc)i);
+	x.listed = (u_int)cg_members_listed(g->members);
+	x.fresh_age_ms = NO_EVIDENCE;
+	count = cg_notices_collect(g->notices, notices, CG_X_GOSSIP_NOTICES);
+	x.notices.notices_val = notices;
+	x.notices.notices_len = (u_int)count;
+	if (reply) {
+		size_t used = xdr_sizeof((xdrproc_t)xdr_cg_x_gossip, &x);
+
+		add_evidence(g, &x);
+		if (used + 4 < CG_GOSSIP_MAX_BODY)
+			add_ages(g, &x, CG_GOSSIP_MAX_BODY - used - 4, codes);
+	}
+	rc = cg_xdr_encode((xdrproc_t)xdr_cg_x_gossip, &x, out);
+	for (size_t i = 0; i < count; i++)
+		xdr_free((xdrproc_t)xdr_cg_x_notice, (char *)&notices[i]);
+	return rc;
+}
+
+static void take_sender(const cg_x_gossip *x, struct cg_member *who)
+{
+	memset(who, 0, sizeof(*who));
+	g_strlcpy(who->name, x->instance, sizeof(who->name));
+	who->incarnation = x->incarnation;
+	who->addr.sin_family = AF_INET;
+	who->addr.sin_addr.s_addr = htonl(x->ip);
+	who->addr.sin_port = htons((uint16_t)x->port);
+	g_strlcpy(who->failure_domain, x->failure_domain,
+		  sizeof(who->failure_domain));
+	g_strlcpy(who->region, x->region, sizeof(who->region));
+}
+
+/* Takes over what holds however old the message is. */
+static void take_states(struct cg_gossip *g, const cg_x_gossip *x,
+			cg_ms proven_at)
+{
+	struct cg_member who;
+
+	take_sender(x, &who);
+	cg_members_heard(g->members, &who, proven_at);
+	cg_members_note_count(g->members, x->listed);
+	for (int i = 0; i < CG_DOC_COUNT; i++)
+		cg_docs_offer(g->docs, (enum cg_doc)i, x->versions[i],
+			      &who.addr);
+	for (u_int i = 0; i < x->notices.notices_len; i++)
+		cg_notices_merge(g->notices, &x->notices.notices_val[i]);
+}
+
+static void take_evidence(struct cg_gossip *g, const cg_x_gossip *x,
+			  cg_ms sent_at)
+{
+	if (x->fresh_age_ms != NO_EVIDENCE)
+		cg_docs_note_fresh(g->docs, x->fresh_version,
+				   sent_at - x->fresh_age_ms);
+	if (x->ages.codes.codes_len >= (x->ages.count + 1) / 2)
+		cg_members_merge_ages(
+			g->members, x->ages.set, x->ages.first, x->ages.count,
+			(uint8_t *)x->ages.codes.codes_val, sent_at);
+}
+
+static bool is_self(struct cg_gossip *g, const cg_x_gossip *x)
+{
+	return !strcmp(x->instance, g->settings->instance);
+}
+
+int cg_gossip_handle(struct cg_gossip *g, const struct cg_peer_msg *msg,
+		     GByteArray *reply)
+{
+	cg_x_gossip x;
+	int rc = -1;
+
+	if (msg->kind != CG_MSG_GOSSIP ||
+	    cg_xdr_decode((xdrproc_t)xdr_cg_x_gossip, msg->body, msg->len, &x,
+			  sizeof(x)))
+		return -1;
+	if (strcmp(x.instance, msg->sender) != 0 ||
+	    x.incarnation != msg->incarnation || is_self(g, &x))
+		goto out;
+	take_states(g, &x, CG_NEVER_HEARD);
+	rc = build(g, true, reply);
+out:
+	xdr_free((xdrproc_t)xdr_cg_x_gossip, (char *)&x);
+	return rc;
+}
+
+static void call_member(struct cg_gossip *g, const struct sockaddr_in *to)
+{
+	GByteArray *body = g_byte_array_new();
+	GByteArray *reply = g_byte_array_new();
+	cg_ms sent_at = cg_clock_now(g->clk);
+	cg_x_gossip x;
+
+	if (build(g, false, body) ||
+	    cg_peer_call(g->peer, to, CG_MSG_GOSSIP, body->data, body->len,
+			 g->settings->gossip_ms, reply) ||
+	    cg_xdr_decode((xdrproc_t)xdr_cg_x_gossip, reply->data, reply->len,
+			  &x, sizeof(x)))
+		goto out;
+	if (!is_self(g, &x)) {
+		take_states(g, &x, sent_at);
+		take_evidence(g, &x, sent_at);
+	}
+	xdr_free((xdrproc_t)xdr_cg_x_gossip, (char *)&x);
+out:
+	g_byte_array_unref(body);
+	g_byte_array_unref(reply);
+}
+
+/* A random member, or a seed while no member is known. */
+static bool choose(struct cg_gossip *g, struct sockaddr_in *to)
+{
+	const struct cg_settings *s = g->settings;
+	struct cg_member m;
+
+	if (cg_members_pick(g->members, 1, CG_MS_NEVER, &m)) {
+		*to = m.addr;
+		return true;
+	}
+	if (!s->seed_count)
+		return false;
+	*to = s->seeds[g_random_int_range(0, (gint32)s->seed_count)];
+	return true;
+}
+
+/* Waits for @p ms of real time; returns false at the end. */
+static bool pause_lane(struct cg_gossip *g, cg_ms ms)
+{
+	struct timespec ts;
+	bool go_on;
+
+	clock_gettime(CLOCK_MONOTONIC, &ts);
+	ts.tv_sec += ms / 1000;
+	ts.tv_nsec += ms % 1000 * 1000000;
+	if (ts.tv_nsec >= 1000000000) {
+		ts.tv_sec++;
+		ts.tv_nsec -= 1000000000;
+	}
+	pthread_mutex_lock(&g->lock);
+	while (!g->stopping && !pthread_cond_timedwait(&g->wake, &g->lock, &ts))
+		;
+	go_on = !g->stopping;
+	pthread_mutex_unlock(&g->lock);
+	return go_on;
+}
+
+static void *run_lane(void *arg)
+{
+	struct cg_gossip *g = arg;
+	cg_ms period = g->settings->gossip_ms;
+	struct cg_clock real;
+
+	cg_clock_init_boot(&real);
+	while (pause_lane(g, g_random_int_range(0, (gint32)period) / 4 +
+				     period / 8)) {
+		cg_ms start = cg_clock_now(&real);
+		struct sockaddr_in to;
+		cg_ms took;
+
+		if (choose(g, &to))
+			call_member(g, &to);
+		took = cg_clock_now(&real) - start;
+		if (!pause_lane(g, MAX(period * 3 / 4 - took, 0)))
+			break;
+	}
+	return NULL;
+}
+
+int cg_gossip_start(struct cg_gossip *g)
+{
+	for (; g->lane_count < LANES; g->lane_count++)
+		if (pthread_create(&g->lanes[g->lane_count], NULL, run_lane, g))
+			return -1;
+	return 0;
+}
+
+void cg_gossip_stop(struct cg_gossip *g)
+{
+	pthread_mutex_lock(&g->lock);
+	g->stopping = true;
+	pthread_cond_broadcast(&g->wake);
+	pthread_mutex_unlock(&g->lock);
+	while (g->lane_count > 0)
+		pthread_join(g->lanes[--g->lane_count], NULL);
+}
+
+void cg_gossip_on_doc(void *arg, enum cg_doc doc, uint64_t version,
+		      GBytes *content)
+{
+	struct cg_gossip *g = arg;
+	struct cg_member to[PUSH_MEMBERS];
+	GByteArray *body = g_byte_array_new();
+	size_t n = 0;
+
+	(void)doc;
+	(void)version;
+	(void)content;
+	if (!build(g, false, body))
+		n = cg_members_pick(g->members, PUSH_MEMBERS, PUSH_HEARD_MS,
+				    to);
+	for (size_t i = 0; i < n; i++)
+		cg_peer_send(g->peer, &to[i].addr, CG_MSG_GOSSIP, body->data,
+			     body->len);
+	g_byte_array_unref(body);
+}
--- a/src/control/members.c
+++ b/src/control/members.c
@@ -17,19 +17,20 @@
 };
 
 /* Peers may use a list a few versions older than ours for some seconds. */
-#define KEPT_SETS     4
+#define KEPT_SETS 4
 /* A member that is gone is forgotten after this time, so that replaced
  * instances don't accumulate. */
-#define FORGET_MS     (24 * 3600 * 1000LL)
+#define FORGET_MS (24 * 3600 * 1000LL)
 /* A member that was never listed is forgotten after this silence. */
 #define UNLISTED_MS   (60 * 1000LL)
 #define AGE_CODE_NONE 15
 
 /* Upper bounds of the age codes. They are finer where ages are low: each relay
  * rounds up, and an age passes about log2(members) relays. */
-static const cg_ms age_bounds[AGE_CODE_NONE] = { 0,    100,  200,  300,	 400,
-						 600,  800,  1000, 1300, 1700,
-						 2200, 3000, 4000, 6000, 10000 };
+static const cg_ms age_bounds[AGE_CODE_NONE] = {
+	0,    100,  200,  300,	400,  600,  800,  1000,
+	1300, 1700, 2200, 3000, 4000, 6000, 10000
+};
 
 struct entry {
 	struct cg_member m;
@@ -83,8 +84,8 @@
 	m->clk = clk;
 	m->gone_confirm_ms = s->gone_confirm_ms;
 	pthread_mutex_init(&m->lock, NULL);
-	m->by_name = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					   g_free);
+	m->by_name =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	m->self = add_entry(m, s->instance);
 	m->self->self = true;
 	m->self->m.incarnation = incarnation;
@@ -428,9 +429,8 @@
 		size_t at = seen;
 
 		if (e->self || e->m.state == CG_MEMBER_GONE ||
-		    (within < CG_MS_NEVER &&
-		     (e->m.heard_at == CG_NEVER_HEARD ||
-		      now - e->m.heard_at > within)))
+		    (within < CG_MS_NEVER && (e->m.heard_at == CG_NEVER_HEARD ||
+					      now - e->m.heard_at > within)))
 			continue;
 		if (seen++ >= n)
 			at = (size_t)g_random_int_range(0, (gint32)seen);
--- a/src/control/store.c
+++ b/src/control/store.c
@@ -190,8 +190,8 @@
 
 static int dispatch(struct cg_store *s, ne_request *req, struct call *c)
 {
-	cg_ms end = cg_clock_now(&s->clk) + c->wait_ms +
-		    (cg_ms)s->timeout_s * 2000;
+	cg_ms end =
+		cg_clock_now(&s->clk) + c->wait_ms + (cg_ms)s->timeout_s * 2000;
 	int rc;
 
 	do {
--- a/src/rpc/gen/gossip_wire_xdr.c
+++ b/src/rpc/gen/gossip_wire_xdr.c
@@ -45,6 +45,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->fresh_version))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->listed))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->fresh_age_ms))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->notices.notices_val, (u_int *) &objp->notices.notices_len, CG_X_GOSSIP_NOTICES,
--- a/src/rpc/gossip_wire.x
+++ b/src/rpc/gossip_wire.x
@@ -23,7 +23,8 @@
 	string failure_domain<CG_X_GOSSIP_NAME>;
 	string region<CG_X_GOSSIP_NAME>;
 	unsigned hyper versions[CG_X_GOSSIP_DOCS];
-	unsigned hyper fresh_version;
+	unsigned hyper fresh_version; /* That the evidence is about. */
+	unsigned int listed; /* Instances in the list; 0: none. */
 	unsigned int fresh_age_ms; /* 0xffffffff: no evidence. */
 	cg_x_notice notices<CG_X_GOSSIP_NOTICES>;
 	cg_x_ages ages;
