--- a/include/internal/shard_map.h
+++ b/include/internal/shard_map.h
@@ -64,7 +64,7 @@
 
 /**
  * Moves one shard from self to the eligible member with the fewest if self owns
- * more than its share and that member owns less. Returns the shard, or -1.
+ * at least two more than it. Returns the shard, or -1.
  */
 int cg_shard_map_rebalance(struct cg_shard_map *m,
 			   const struct cg_map_member *members, size_t n);
--- a/src/control/shard_map.c
+++ b/src/control/shard_map.c
@@ -333,11 +333,10 @@
 			   const struct cg_map_member *members, size_t n)
 {
 	size_t self = find_self(members, n);
-	size_t count = eligible_count(members, n);
 	size_t *load;
 	int moved = -1;
 
-	if (self == n || !members[self].eligible || count < 2)
+	if (self == n || !members[self].eligible)
 		return -1;
 	load = g_new0(size_t, n + 1);
 	count_load(m, members, n, load);
@@ -349,8 +348,8 @@
 		    e->incarnation != members[self].incarnation)
 			continue;
 		to = pick_by_load(members, load, n, s);
-		if (load[self] <= (CG_SHARDS + count - 1) / count ||
-		    load[to] >= CG_SHARDS / count)
+		/* A difference of one cannot be evened out. */
+		if (load[self] < load[to] + 2)
 			break;
 		set_owner(e, &members[to]);
 		moved = (int)s;
--- /dev/null
+++ b/tests/test_docs.c
@@ -0,0 +1,470 @@
+/* Guards against configuration versions that revert, invalid or incomplete
+ * versions that take effect, and a replica that stops learning. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include <pthread.h>
+
+#include "celeryglade/counters.h"
+#include "control_node.h"
+#include "support/fake_store.h"
+
+#define STORE_PORT 21100
+#define STORE_URL  "http://127.0.0.1:21100"
+#define PORT_A	   21101
+#define PORT_B	   21102
+
+struct fixture {
+	struct fake_store *fake;
+	struct control_node a;
+	struct control_node b;
+};
+
+static int setup(void **state)
+{
+	struct fixture *f = g_new0(struct fixture, 1);
+
+	*state = f;
+	f->fake = fake_store_start(STORE_PORT);
+	if (!f->fake)
+		return -1;
+	node_settings(&f->a.set, "a", "x", PORT_A, STORE_URL, "secret");
+	node_settings(&f->b.set, "b", "x", PORT_B, STORE_URL, "secret");
+	f->a.incarnation = 1;
+	f->b.incarnation = 2;
+	f->a.set.poll_ms = 300;
+	f->b.set.poll_ms = 300;
+	return node_init(&f->a) || node_init(&f->b) ? -1 : 0;
+}
+
+static int teardown(void **state)
+{
+	struct fixture *f = *state;
+
+	node_stop(&f->a);
+	node_stop(&f->b);
+	fake_store_stop(f->fake);
+	g_free(f);
+	return 0;
+}
+
+static GBytes *text_part(const char *text)
+{
+	return g_bytes_new(text, strlen(text));
+}
+
+/* Writes a root with one part; without the part if @p omit. */
+static void publish(struct fixture *f, uint64_t version, const char *text,
+		    bool omit)
+{
+	GBytes *part = text_part(text);
+	GBytes *root = fake_root(version, &part, 1);
+	uint8_t digest[CG_DIGEST_SIZE];
+	char name[CG_PART_NAME_SIZE];
+	gsize len;
+	const void *data;
+
+	cg_part_digest(part, digest);
+	cg_part_name(digest, name);
+	data = g_bytes_get_data(part, &len);
+	if (!omit)
+		fake_store_put(f->fake, name, data, len);
+	data = g_bytes_get_data(root, &len);
+	fake_store_put(f->fake, CG_ROOT_OBJECT, data, len);
+	g_bytes_unref(part);
+	g_bytes_unref(root);
+}
+
+static uint64_t root_of(struct control_node *n)
+{
+	return cg_docs_version(n->docs, CG_DOC_ROOT);
+}
+
+static uint64_t config_of(struct control_node *n)
+{
+	struct cg_config *c = cg_docs_config(n->docs);
+	uint64_t v = c ? cg_config_version(c) : 0;
+
+	if (c)
+		cg_config_unref(c);
+	return v;
+}
+
+static void adopts_from_the_store(void **state)
+{
+	struct fixture *f = *state;
+
+	assert_null(cg_docs_config(f->a.docs));
+	publish(f, 3, "three\n", false);
+	assert_int_equal(cg_docs_start(f->a.docs), 0);
+	assert_true(node_wait(config_of(&f->a) == 3, 3000));
+	publish(f, 4, "four\n", false);
+	assert_true(node_wait(config_of(&f->a) == 4, 3000));
+	assert_true(cg_docs_fresh_at(f->a.docs) > 0);
+}
+
+static void lower_versions_never_replace(void **state)
+{
+	struct fixture *f = *state;
+	uint64_t before;
+
+	publish(f, 5, "five\n", false);
+	assert_int_equal(cg_docs_start(f->a.docs), 0);
+	assert_true(node_wait(config_of(&f->a) == 5, 3000));
+	before = cg_counter_read(CG_COUNTER_CONFIG_LOWER_IGNORED);
+	publish(f, 4, "four\n", false);
+	assert_true(node_wait(cg_counter_read(CG_COUNTER_CONFIG_LOWER_IGNORED) >
+				      before,
+			      3000));
+	assert_int_equal(config_of(&f->a), 5);
+}
+
+/* A stale read shows an older version; it must neither revert the copy nor
+ * count as evidence that the copy is up to date. */
+static void stale_reads_are_no_evidence(void **state)
+{
+	struct fixture *f = *state;
+	uint64_t before;
+	cg_ms at;
+
+	publish(f, 1, "one\n", false);
+	publish(f, 2, "two\n", false);
+	assert_int_equal(cg_docs_start(f->a.docs), 0);
+	assert_true(node_wait(config_of(&f->a) == 2, 3000));
+	f->fake->stale = true;
+	before = cg_counter_read(CG_COUNTER_CONFIG_LOWER_IGNORED);
+	assert_true(node_wait(cg_counter_read(CG_COUNTER_CONFIG_LOWER_IGNORED) >
+				      before,
+			      3000));
+	at = cg_docs_fresh_at(f->a.docs);
+	cg_sleep(1000);
+	assert_true(cg_docs_fresh_at(f->a.docs) == at);
+	assert_int_equal(config_of(&f->a), 2);
+}
+
+static void invalid_version_is_counted_once(void **state)
+{
+	struct fixture *f = *state;
+	uint64_t before = cg_counter_read(CG_COUNTER_CONFIG_REJECTED);
+
+	publish(f, 1, "one\n", false);
+	assert_int_equal(cg_docs_start(f->a.docs), 0);
+	assert_true(node_wait(config_of(&f->a) == 1, 3000));
+	publish(f, 2, "invalid\n", false);
+	assert_true(node_wait(cg_counter_read(CG_COUNTER_CONFIG_REJECTED) >
+				      before,
+			      3000));
+	cg_sleep(1500);
+	assert_int_equal(cg_counter_read(CG_COUNTER_CONFIG_REJECTED),
+			 before + 1);
+	assert_int_equal(config_of(&f->a), 1);
+	publish(f, 3, "three\n", false);
+	assert_true(node_wait(config_of(&f->a) == 3, 8000));
+}
+
+static void malformed_root_is_rejected(void **state)
+{
+	struct fixture *f = *state;
+	uint64_t before = cg_counter_read(CG_COUNTER_CONFIG_REJECTED);
+
+	publish(f, 1, "one\n", false);
+	assert_int_equal(cg_docs_start(f->a.docs), 0);
+	assert_true(node_wait(config_of(&f->a) == 1, 3000));
+	fake_store_put(f->fake, CG_ROOT_OBJECT, "{\"ver", 5);
+	assert_true(node_wait(cg_counter_read(CG_COUNTER_CONFIG_REJECTED) >
+				      before,
+			      3000));
+	assert_int_equal(config_of(&f->a), 1);
+}
+
+static void missing_part_delays_adoption(void **state)
+{
+	struct fixture *f = *state;
+
+	publish(f, 1, "one\n", false);
+	assert_int_equal(cg_docs_start(f->a.docs), 0);
+	assert_true(node_wait(config_of(&f->a) == 1, 3000));
+	publish(f, 2, "two\n", true);
+	cg_sleep(1000);
+	assert_int_equal(config_of(&f->a), 1);
+	publish(f, 2, "two\n", false);
+	assert_true(node_wait(config_of(&f->a) == 2, 8000));
+}
+
+/* A part of the store whose content was damaged must not take effect. */
+static void damaged_part_is_refused(void **state)
+{
+	struct fixture *f = *state;
+	GBytes *part = text_part("good\n");
+	uint8_t digest[CG_DIGEST_SIZE];
+	char name[CG_PART_NAME_SIZE];
+
+	publish(f, 1, "good\n", true);
+	cg_part_digest(part, digest);
+	cg_part_name(digest, name);
+	fake_store_put(f->fake, name, "evil\n", 5);
+	assert_int_equal(cg_docs_start(f->a.docs), 0);
+	cg_sleep(1000);
+	assert_int_equal(config_of(&f->a), 0);
+	fake_store_put(f->fake, name, "good\n", 5);
+	assert_true(node_wait(config_of(&f->a) == 1, 8000));
+	g_bytes_unref(part);
+}
+
+static char *big_text(char c)
+{
+	char *text = g_malloc(100001);
+
+	memset(text, c, 100000);
+	text[99999] = '\n';
+	text[100000] = '\0';
+	return text;
+}
+
+/* With the store down, a peer's copy with all chunks of its part is enough. */
+static void offered_version_comes_from_the_peer(void **state)
+{
+	struct fixture *f = *state;
+	char *text = big_text('k');
+	uint64_t from_peer;
+	uint64_t from_store;
+
+	publish(f, 7, text, false);
+	assert_int_equal(cg_peer_start(f->a.peer), 0);
+	assert_int_equal(cg_docs_start(f->a.docs), 0);
+	assert_true(node_wait(config_of(&f->a) == 7, 3000));
+	f->fake->down = true;
+	from_peer = cg_counter_read(CG_COUNTER_CONFIG_FROM_PEER);
+	from_store = cg_counter_read(CG_COUNTER_CONFIG_FROM_STORE);
+	assert_int_equal(cg_docs_start(f->b.docs), 0);
+	cg_docs_offer(f->b.docs, CG_DOC_ROOT, 7, &f->a.set.peer);
+	assert_true(node_wait(config_of(&f->b) == 7, 3000));
+	assert_int_equal(cg_counter_read(CG_COUNTER_CONFIG_FROM_PEER),
+			 from_peer + 1);
+	assert_int_equal(cg_counter_read(CG_COUNTER_CONFIG_FROM_STORE),
+			 from_store);
+	g_free(text);
+}
+
+static void seed_is_asked_during_an_outage(void **state)
+{
+	struct fixture *f = *state;
+
+	publish(f, 9, "nine\n", false);
+	fake_store_set_list(f->fake, 2,
+			    "{\"version\":2,\"instances\":[{\"name\":\"a\","
+			    "\"role\":\"entry\",\"address\":"
+			    "\"127.0.0.1:21101\",\"failure_domain\":\"x\","
+			    "\"region\":\"r1\",\"state\":\"live\","
+			    "\"started\":1}]}");
+	assert_int_equal(cg_peer_start(f->a.peer), 0);
+	assert_int_equal(cg_docs_start(f->a.docs), 0);
+	assert_true(node_wait(config_of(&f->a) == 9, 3000));
+	assert_true(
+		node_wait(cg_docs_version(f->a.docs, CG_DOC_LIST) == 2, 3000));
+	f->fake->down = true;
+	f->b.set.seeds[0] = f->a.set.peer;
+	f->b.set.seed_count = 1;
+	assert_int_equal(cg_docs_start(f->b.docs), 0);
+	assert_true(node_wait(config_of(&f->b) == 9, 4000));
+	assert_true(
+		node_wait(cg_docs_version(f->b.docs, CG_DOC_LIST) == 2, 4000));
+	assert_int_equal(cg_members_listed(f->b.members), 1);
+}
+
+/* A peer that is silent or has nothing must not keep the daemon from asking the
+ * store. */
+static void dead_peer_falls_back_to_the_store(void **state)
+{
+	struct fixture *f = *state;
+	struct sockaddr_in nobody = f->b.set.peer;
+
+	f->a.set.poll_ms = 60000;
+	publish(f, 1, "one\n", false);
+	assert_int_equal(cg_docs_start(f->a.docs), 0);
+	assert_true(node_wait(config_of(&f->a) == 1, 3000));
+	publish(f, 2, "two\n", false);
+	cg_docs_offer(f->a.docs, CG_DOC_ROOT, 2, &nobody);
+	assert_true(node_wait(config_of(&f->a) == 2, 5000));
+}
+
+static void store_outage_keeps_the_copy(void **state)
+{
+	struct fixture *f = *state;
+	cg_ms at;
+
+	publish(f, 1, "one\n", false);
+	assert_int_equal(cg_docs_start(f->a.docs), 0);
+	assert_true(node_wait(config_of(&f->a) == 1, 3000));
+	f->fake->down = true;
+	cg_sleep(700);
+	at = cg_docs_fresh_at(f->a.docs);
+	cg_sleep(700);
+	assert_true(cg_docs_fresh_at(f->a.docs) == at);
+	assert_int_equal(config_of(&f->a), 1);
+	f->fake->down = false;
+	assert_true(node_wait(cg_docs_fresh_at(f->a.docs) > at, 8000));
+}
+
+static void evidence_waits_for_its_version(void **state)
+{
+	struct fixture *f = *state;
+	cg_ms now = cg_clock_now(&f->a.clk);
+	GBytes *root;
+	uint64_t v;
+	cg_ms at;
+
+	cg_docs_note_fresh(f->a.docs, 4, now - 100);
+	assert_int_equal(cg_docs_evidence(f->a.docs, &v, &at), -1);
+	root = fake_root(4, NULL, 0);
+	assert_int_equal(cg_docs_put(f->a.docs, CG_DOC_ROOT, root, 1), 0);
+	assert_int_equal(cg_docs_evidence(f->a.docs, &v, &at), 0);
+	assert_int_equal(v, 4);
+	assert_true(at == now - 100);
+	/* Evidence from the future of this clock is cut to the present. */
+	cg_docs_note_fresh(f->a.docs, 4, now + 100000);
+	assert_true(cg_docs_fresh_at(f->a.docs) <= cg_clock_now(&f->a.clk));
+	g_bytes_unref(root);
+}
+
+static void watcher_sees_a_change_at_once(void **state)
+{
+	struct fixture *f = *state;
+	int reads;
+
+	f->a.set.poll_ms = 60000;
+	fake_store_set_list(f->fake, 1,
+			    "{\"version\":1,\"instances\":[{\"name\":\"a\","
+			    "\"role\":\"entry\",\"address\":"
+			    "\"127.0.0.1:21101\",\"failure_domain\":\"x\","
+			    "\"region\":\"r1\",\"state\":\"live\","
+			    "\"started\":1}]}");
+	publish(f, 1, "one\n", false);
+	assert_int_equal(cg_docs_start(f->a.docs), 0);
+	assert_true(node_wait(f->fake->watches >= 4, 5000));
+	reads = f->fake->reads;
+	publish(f, 2, "two\n", false);
+	assert_true(node_wait(config_of(&f->a) == 2, 700));
+	/* The part, and perhaps one poll of the absent shard map. */
+	assert_true(f->fake->reads <= reads + 4);
+}
+
+static void hostile_requests_are_refused(void **state)
+{
+	struct fixture *f = *state;
+	uint8_t junk[64];
+	GByteArray *reply = g_byte_array_new();
+	uint32_t seed = 7;
+
+	for (int i = 0; i < 2000; i++) {
+		struct cg_peer_msg m = {
+			.kind = i % 2 ? CG_MSG_GET_DOC : CG_MSG_GET_PART,
+			.body = junk,
+			.len = (size_t)i % sizeof(junk),
+		};
+
+		for (size_t k = 0; k < sizeof(junk); k++) {
+			seed = seed * 1103515245 + 12345;
+			junk[k] = (uint8_t)(seed >> 16);
+		}
+		cg_docs_handle(f->a.docs, &m, reply);
+		g_byte_array_set_size(reply, 0);
+	}
+	g_byte_array_unref(reply);
+	assert_int_equal(root_of(&f->a), 0);
+}
+
+struct reader {
+	struct cg_docs *d;
+	_Atomic bool stop;
+	_Atomic bool reverted;
+};
+
+static void *read_configs(void *arg)
+{
+	struct reader *r = arg;
+	uint64_t last = 0;
+
+	while (!r->stop) {
+		struct cg_config *c = cg_docs_config(r->d);
+
+		if (!c)
+			continue;
+		if (cg_config_version(c) < last)
+			r->reverted = true;
+		last = cg_config_version(c);
+		cg_config_unref(c);
+	}
+	return NULL;
+}
+
+/* A reader that holds no lock must never see a freed or older snapshot. */
+static void readers_run_along_with_swaps(void **state)
+{
+	struct fixture *f = *state;
+	struct reader r = { .d = f->a.docs };
+	pthread_t t[3];
+
+	for (int i = 0; i < 3; i++)
+		pthread_create(&t[i], NULL, read_configs, &r);
+	for (uint64_t v = 1; v <= 200; v++) {
+		GBytes *root = fake_root(v, NULL, 0);
+
+		assert_int_equal(cg_docs_put(f->a.docs, CG_DOC_ROOT, root, v),
+				 0);
+		g_bytes_unref(root);
+	}
+	r.stop = true;
+	for (int i = 0; i < 3; i++)
+		pthread_join(t[i], NULL);
+	assert_false(r.reverted);
+	assert_int_equal(config_of(&f->a), 200);
+}
+
+static void status_tells_version_and_source(void **state)
+{
+	struct fixture *f = *state;
+	GBytes *root = fake_root(6, NULL, 0);
+	struct json_object *o;
+	struct json_object *r;
+
+	cg_docs_put(f->a.docs, CG_DOC_ROOT, root, 1);
+	o = cg_docs_status(f->a.docs);
+	r = json_object_object_get(o, "root");
+	assert_int_equal(json_object_get_int(
+				 json_object_object_get(r, "version")),
+			 6);
+	assert_string_equal(json_object_get_string(
+				    json_object_object_get(r, "source")),
+			    "store");
+	json_object_put(o);
+	g_bytes_unref(root);
+}
+
+#define T(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		T(adopts_from_the_store),
+		T(lower_versions_never_replace),
+		T(stale_reads_are_no_evidence),
+		T(invalid_version_is_counted_once),
+		T(malformed_root_is_rejected),
+		T(missing_part_delays_adoption),
+		T(damaged_part_is_refused),
+		T(offered_version_comes_from_the_peer),
+		T(seed_is_asked_during_an_outage),
+		T(dead_peer_falls_back_to_the_store),
+		T(store_outage_keeps_the_copy),
+		T(evidence_waits_for_its_version),
+		T(watcher_sees_a_change_at_once),
+		T(hostile_requests_are_refused),
+		T(readers_run_along_with_swaps),
+		T(status_tells_version_and_source),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
