--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 CMOCKA := $(shell pkg-config --libs cmocka 2>/dev/null)
 CURL := $(shell pkg-config --libs libcurl 2>/dev/null)
 
-LIB_SRC := $(sort $(wildcard src/base/*.c src/config/*.c src/rpc/*.c src/control/*.c src/request/*.c))
+LIB_SRC := $(sort $(wildcard src/base/*.c src/config/*.c src/rpc/*.c src/control/*.c src/request/*.c src/node/*.c))
 GEN_SRC := $(sort $(wildcard src/rpc/gen/*.c))
 CTL_SRC := $(sort $(wildcard src/ctl/*.c))
 TEST_SRC := $(sort $(wildcard tests/test_*.c))
--- /dev/null
+++ b/include/internal/front.h
@@ -0,0 +1,32 @@
+/**
+ * @file front.h
+ * HTTP towards callers and operators, through libmicrohttpd.
+ */
+#ifndef CELERYGLADE_INTERNAL_FRONT_H
+#define CELERYGLADE_INTERNAL_FRONT_H
+
+#include "internal/proxy.h"
+
+/** Starts listening for callers. Returns NULL if that fails. */
+struct cg_front *cg_front_new(struct cg_proxy *p);
+
+/** Stops accepting connections; open ones are served on. */
+void cg_front_quiesce(struct cg_front *f);
+
+/** Returns the number of open connections from callers. */
+unsigned int cg_front_connections(struct cg_front *f);
+
+/** Closes all connections and frees the front. */
+void cg_front_free(struct cg_front *f);
+
+struct cg_admin;
+
+/** Answers whether the daemon is ready for callers. */
+typedef bool (*cg_ready_fn)(void *arg);
+
+/** Starts the operators' listener: /-/ready, /-/live, /-/metrics. */
+struct cg_admin *cg_admin_new(const struct sockaddr_in *listen,
+			      cg_ready_fn ready, void *arg);
+void cg_admin_free(struct cg_admin *a);
+
+#endif
--- a/include/internal/health.h
+++ b/include/internal/health.h
@@ -6,6 +6,7 @@
 #define CELERYGLADE_INTERNAL_HEALTH_H
 
 #include "internal/docs.h"
+#include "internal/notices.h"
 #include "internal/shards.h"
 
 /** What one attempt showed about its server. */
@@ -22,7 +23,8 @@
 struct cg_health *cg_health_new(const struct cg_settings *s,
 				struct cg_clock *clk, struct cg_peer *peer,
 				struct cg_members *members,
-				struct cg_shards *shards, struct cg_docs *docs);
+				struct cg_shards *shards, struct cg_docs *docs,
+				struct cg_notices *notices);
 int cg_health_start(struct cg_health *h);
 void cg_health_stop(struct cg_health *h);
 void cg_health_free(struct cg_health *h);
--- /dev/null
+++ b/src/node/node.c
@@ -0,0 +1,186 @@
+#define CG_PART "daemon"
+#include "internal/node.h"
+
+#include <string.h>
+
+#include "internal/claims.h"
+#include "internal/connections.h"
+#include "internal/dispatcher.h"
+#include "internal/logging.h"
+
+#define STORE_TIMEOUT_S	 2
+#define LEAVE_TIMEOUT_MS 5000
+#define DRAIN_POLL_MS	 20
+
+bool cg_node_ready(void *arg)
+{
+	struct cg_node *n = arg;
+	struct cg_proxy *p = &n->proxy;
+
+	return p->docs && !atomic_load(&p->stopping) &&
+	       cg_docs_version(p->docs, CG_DOC_ROOT) > 0 &&
+	       cg_trust_accepts_keys(p->settings, p->clk, p->docs, n->members);
+}
+
+static void make_incarnation(struct cg_node *n)
+{
+	/* Rises with each start as long as the wall clock does not go back by
+	 * more than the process ran; the random bits tell apart two starts in
+	 * one millisecond. */
+	n->incarnation = (uint64_t)(g_get_real_time() / 1000) << 16 |
+			 (g_random_int() & 0xffff);
+}
+
+static int create_control(struct cg_node *n)
+{
+	struct cg_settings *s = &n->settings;
+	struct cg_proxy *p = &n->proxy;
+
+	n->peer = cg_peer_new(s->instance, n->incarnation, s->fleet_secret,
+			      &s->peer);
+	if (!n->peer) {
+		cg_error("cannot bind the peer address");
+		return -1;
+	}
+	p->store = cg_store_new(s->store_url, STORE_TIMEOUT_S);
+	n->members = cg_members_new(s, n->incarnation, &n->clk);
+	p->members = n->members;
+	p->docs = cg_docs_new(s, &n->clk, p->store, n->peer, n->members);
+	p->notices = cg_notices_new(&n->clk, n->peer, n->members, p->docs);
+	n->gossip = cg_gossip_new(s, &n->clk, n->peer, n->members, p->docs,
+				  p->notices);
+	n->shards = cg_shards_new(s, n->incarnation, &n->clk, p->store, p->docs,
+				  n->members);
+	p->rates = cg_rates_new(s, &n->clk, n->peer, n->members, n->shards,
+				p->docs);
+	p->health = cg_health_new(s, &n->clk, n->peer, n->members, n->shards,
+				  p->docs, p->notices);
+	cg_docs_add_listener(p->docs, cg_shards_on_doc, n->shards);
+	cg_docs_add_listener(p->docs, cg_notices_on_doc, p->notices);
+	cg_docs_add_listener(p->docs, cg_gossip_on_doc, n->gossip);
+	cg_peer_set_handler(n->peer, cg_node_handle, n);
+	return 0;
+}
+
+static int create_request_path(struct cg_node *n)
+{
+	struct cg_proxy *p = &n->proxy;
+
+	p->timers = cg_timers_new(&n->clk);
+	p->connections = cg_connections_new(&n->clk);
+	p->balance = cg_balance_new(&n->settings, n->members);
+	p->dispatcher = cg_dispatcher_new(p);
+	p->claims = cg_claims_new(p->store, &n->clk);
+	if (p->timers && p->claims)
+		return 0;
+	cg_error("cannot start the threads of the request path");
+	return -1;
+}
+
+static int start_control(struct cg_node *n)
+{
+	struct cg_proxy *p = &n->proxy;
+
+	if (cg_peer_start(n->peer) || cg_docs_start(p->docs) ||
+	    cg_gossip_start(n->gossip) || cg_shards_start(n->shards) ||
+	    cg_rates_start(p->rates) || cg_health_start(p->health)) {
+		cg_error("cannot start the controllers");
+		return -1;
+	}
+	return 0;
+}
+
+static int start_listeners(struct cg_node *n)
+{
+	n->admin = cg_admin_new(&n->settings.admin, cg_node_ready, n);
+	if (!n->admin) {
+		cg_error("cannot listen on the admin address");
+		return -1;
+	}
+	n->proxy.front = cg_front_new(&n->proxy);
+	if (!n->proxy.front) {
+		cg_error("cannot listen for callers");
+		return -1;
+	}
+	return 0;
+}
+
+int cg_node_start(struct cg_node *n)
+{
+	make_incarnation(n);
+	n->proxy.settings = &n->settings;
+	n->proxy.clk = &n->clk;
+	if (create_control(n) || create_request_path(n) || start_control(n) ||
+	    start_listeners(n))
+		return -1;
+	cg_info("started, incarnation %" G_GUINT64_FORMAT, n->incarnation);
+	return 0;
+}
+
+/* Waits until no request runs and no connection is open, or until the time is
+ * over. Returns what was left. */
+static int wait_until_idle(struct cg_node *n, cg_ms timeout)
+{
+	cg_ms end = cg_clock_now(&n->clk) + timeout;
+
+	while (cg_clock_now(&n->clk) < end) {
+		if (atomic_load(&n->proxy.running) == 0 &&
+		    cg_front_connections(n->proxy.front) == 0)
+			return 0;
+		cg_sleep(DRAIN_POLL_MS);
+	}
+	return atomic_load(&n->proxy.running);
+}
+
+void cg_node_drain(struct cg_node *n)
+{
+	struct cg_proxy *p = &n->proxy;
+	int left;
+
+	cg_info("shutting down: readiness fails now");
+	atomic_store(&p->stopping, true);
+	/* The balancer needs this time to see it; every response closes its
+	 * connection meanwhile. */
+	cg_sleep(n->settings.lame_duck_ms);
+	cg_front_quiesce(p->front);
+	left = wait_until_idle(n, n->settings.lame_duck_ms);
+	if (left > 0)
+		left = wait_until_idle(n, n->settings.drain_max_ms);
+	if (left > 0)
+		cg_warning("shutting down with %d requests running", left);
+	cg_rates_stop(p->rates);
+	if (cg_shards_leave(n->shards, LEAVE_TIMEOUT_MS))
+		cg_warning("could not hand all shards over");
+	cg_info("shut down");
+}
+
+void cg_node_stop(struct cg_node *n)
+{
+	struct cg_proxy *p = &n->proxy;
+
+	cg_front_free(p->front);
+	cg_admin_free(n->admin);
+	if (p->dispatcher)
+		cg_dispatcher_free(p->dispatcher);
+	cg_claims_free(p->claims);
+	if (n->peer) {
+		cg_health_stop(p->health);
+		cg_rates_stop(p->rates);
+		cg_shards_stop(n->shards);
+		cg_gossip_stop(n->gossip);
+		cg_docs_stop(p->docs);
+		cg_peer_free(n->peer);
+		cg_health_free(p->health);
+		cg_rates_free(p->rates);
+		cg_shards_free(n->shards);
+		cg_gossip_free(n->gossip);
+		cg_notices_free(p->notices);
+		cg_docs_free(p->docs);
+		cg_members_free(n->members);
+		cg_store_free(p->store);
+	}
+	cg_timers_free(p->timers);
+	if (p->balance)
+		cg_balance_free(p->balance);
+	cg_connections_free(p->connections);
+}
--- /dev/null
+++ b/src/node/status.c
@@ -0,0 +1,120 @@
+#include "internal/node.h"
+
+#include <json-c/json.h>
+#include <string.h>
+
+#include "celeryglade/counters.h"
+#include "internal/dispatcher.h"
+#include "internal/parts.h"
+#include "status_wire.h"
+
+static void add_text(struct json_object *o, const char *name, const char *v)
+{
+	json_object_object_add(o, name, json_object_new_string(v));
+}
+
+static void add_number(struct json_object *o, const char *name, uint64_t v)
+{
+	json_object_object_add(o, name, json_object_new_uint64(v));
+}
+
+static void add_write_id(struct cg_node *n, struct json_object *o)
+{
+	GBytes *text = cg_docs_content(n->proxy.docs, CG_DOC_ROOT, NULL, NULL);
+	struct cg_faults faults = { 0 };
+	struct cg_root root;
+
+	if (!text)
+		return;
+	if (!cg_root_parse(text, &root, &faults)) {
+		add_text(o, "write_id", root.write_id);
+		cg_root_clear(&root);
+	}
+	cg_faults_clear(&faults);
+	g_bytes_unref(text);
+}
+
+static struct json_object *summary(struct cg_node *n)
+{
+	struct cg_proxy *p = &n->proxy;
+	struct json_object *o = json_object_new_object();
+	bool keys =
+		cg_trust_accepts_keys(p->settings, p->clk, p->docs, n->members);
+
+	add_text(o, "instance", n->settings.instance);
+	add_number(o, "incarnation", n->incarnation);
+	add_text(o, "failure_domain", n->settings.failure_domain);
+	add_number(o, "config_version", cg_docs_version(p->docs, CG_DOC_ROOT));
+	add_write_id(n, o);
+	add_number(o, "shard_map_version", cg_shards_version(n->shards));
+	json_object_object_add(o, "ready",
+			       json_object_new_boolean(cg_node_ready(n)));
+	add_text(o, "keys", keys ? "accepting" : "stale");
+	add_number(o, "running", (uint64_t)atomic_load(&p->running));
+	json_object_object_add(o, "documents", cg_docs_status(p->docs));
+	json_object_object_add(
+		o, "trust",
+		cg_trust_status(p->settings, p->clk, p->docs, n->members));
+	json_object_object_add(o, "notices", cg_notices_status(p->notices));
+	json_object_object_add(o, "queues",
+			       cg_dispatcher_status(p->dispatcher));
+	return o;
+}
+
+static struct json_object *counters(void)
+{
+	struct json_object *o = json_object_new_object();
+
+	for (int c = 0; c < CG_COUNTER_COUNT; c++)
+		add_number(o, cg_counter_name((enum cg_counter)c),
+			   cg_counter_read((enum cg_counter)c));
+	return o;
+}
+
+static struct json_object *answer(struct cg_node *n, const char *what,
+				  const char *name)
+{
+	if (!strcmp(what, "summary"))
+		return summary(n);
+	if (!strcmp(what, "counters"))
+		return counters();
+	(void)name;
+	if (!strcmp(what, "members"))
+		return cg_members_status(n->members);
+	if (!strcmp(what, "shards"))
+		return cg_shards_status(n->shards);
+	return NULL;
+}
+
+/* The pages of one answer are made one by one, so a tool that reads several
+ * may see two states of a counter. */
+static int put_page(const char *text, uint32_t offset, GByteArray *reply)
+{
+	size_t total = strlen(text);
+	struct cg_x_status_reply r = { .total = (u_int)total };
+
+	if (offset > total)
+		return -1;
+	r.page.page_val = (char *)text + offset;
+	r.page.page_len = (u_int)MIN(total - offset, CG_X_STATUS_PAGE);
+	return cg_xdr_encode((xdrproc_t)xdr_cg_x_status_reply, &r, reply);
+}
+
+int cg_status_handle(struct cg_node *n, const struct cg_peer_msg *msg,
+		     GByteArray *reply)
+{
+	struct cg_x_status_request q;
+	struct json_object *o;
+	int rc = -1;
+
+	if (cg_xdr_decode((xdrproc_t)xdr_cg_x_status_request, msg->body,
+			  msg->len, &q, sizeof(q)))
+		return -1;
+	o = answer(n, q.what, q.name);
+	if (o) {
+		rc = put_page(json_object_to_json_string(o), q.offset, reply);
+		json_object_put(o);
+	}
+	xdr_free((xdrproc_t)xdr_cg_x_status_request, (char *)&q);
+	return rc;
+}
--- /dev/null
+++ b/src/request/admin.c
@@ -0,0 +1,90 @@
+#include "internal/front.h"
+
+#include <microhttpd.h>
+#include <string.h>
+
+#include "celeryglade/counters.h"
+
+struct cg_admin {
+	struct MHD_Daemon *daemon;
+	cg_ready_fn ready;
+	void *arg;
+};
+
+static enum MHD_Result reply(struct MHD_Connection *conn, unsigned int status,
+			     const char *text)
+{
+	struct MHD_Response *m = MHD_create_response_from_buffer(
+		strlen(text), (void *)text, MHD_RESPMEM_MUST_COPY);
+	enum MHD_Result rc;
+
+	if (!m)
+		return MHD_NO;
+	MHD_add_response_header(m, "Content-Type", "text/plain");
+	rc = MHD_queue_response(conn, status, m);
+	MHD_destroy_response(m);
+	return rc;
+}
+
+static enum MHD_Result reply_metrics(struct MHD_Connection *conn)
+{
+	GString *s = g_string_new(NULL);
+	enum MHD_Result rc;
+
+	for (int c = 0; c < CG_COUNTER_COUNT; c++)
+		g_string_append_printf(s, "%s %" G_GUINT64_FORMAT "\n",
+				       cg_counter_name((enum cg_counter)c),
+				       cg_counter_read((enum cg_counter)c));
+	rc = reply(conn, MHD_HTTP_OK, s->str);
+	g_string_free(s, TRUE);
+	return rc;
+}
+
+static enum MHD_Result handle(void *cls, struct MHD_Connection *conn,
+			      const char *url, const char *method,
+			      const char *version, const char *data,
+			      size_t *data_size, void **state)
+{
+	struct cg_admin *a = cls;
+
+	(void)version;
+	(void)data;
+	(void)state;
+	*data_size = 0;
+	if (strcmp(method, "GET") != 0)
+		return reply(conn, MHD_HTTP_METHOD_NOT_ALLOWED, "GET only\n");
+	if (!strcmp(url, "/-/live"))
+		return reply(conn, MHD_HTTP_OK, "live\n");
+	if (!strcmp(url, "/-/metrics"))
+		return reply_metrics(conn);
+	if (strcmp(url, "/-/ready") != 0)
+		return reply(conn, MHD_HTTP_NOT_FOUND, "not found\n");
+	if (a->ready(a->arg))
+		return reply(conn, MHD_HTTP_OK, "ready\n");
+	return reply(conn, MHD_HTTP_SERVICE_UNAVAILABLE, "not ready\n");
+}
+
+struct cg_admin *cg_admin_new(const struct sockaddr_in *listen,
+			      cg_ready_fn ready, void *arg)
+{
+	struct cg_admin *a = g_new0(struct cg_admin, 1);
+
+	a->ready = ready;
+	a->arg = arg;
+	a->daemon = MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD, 0, NULL,
+				     NULL, handle, a, MHD_OPTION_SOCK_ADDR,
+				     listen, MHD_OPTION_CONNECTION_TIMEOUT, 10U,
+				     MHD_OPTION_END);
+	if (a->daemon)
+		return a;
+	g_free(a);
+	return NULL;
+}
+
+void cg_admin_free(struct cg_admin *a)
+{
+	if (!a)
+		return;
+	MHD_stop_daemon(a->daemon);
+	g_free(a);
+}
--- /dev/null
+++ b/src/request/connections.c
@@ -0,0 +1,244 @@
+#define CG_PART "connections"
+#include "internal/connections.h"
+
+#include "celeryglade/counters.h"
+#include "internal/connection_private.h"
+#include "internal/logging.h"
+
+/* Shorter than the idle timeout of common HTTP servers, so that the server
+ * rarely closes a connection that is about to be used. */
+#define IDLE_MAX_MS 4000
+/* One daemon keeps at most this share of the connections that a server
+ * accepts: 48 daemons and some spare for new connections. */
+#define CONNECTION_SHARE 64
+#define KEPT_MIN	 2
+#define KEPT_MAX	 16
+
+/* The kept connections to one server. */
+struct server_pool {
+	char key[160];
+	struct cds_list_head idle; /* Most recently used first. */
+	uint32_t idle_count;
+	uint32_t idle_max;
+	cg_ms condemned_before; /* Connections opened up to then are closed. */
+};
+
+struct cg_connections {
+	struct cg_clock *clk;
+	pthread_mutex_t lock;
+	GHashTable *pools;
+};
+
+static void free_connection(struct cg_connection *conn)
+{
+	ne_session_destroy(conn->session);
+	g_free(conn);
+}
+
+static void free_pool(void *p)
+{
+	struct server_pool *pool = p;
+	struct cg_connection *c, *next;
+
+	cds_list_for_each_entry_safe(c, next, &pool->idle, node)
+		free_connection(c);
+	g_free(pool);
+}
+
+struct cg_connections *cg_connections_new(struct cg_clock *clk)
+{
+	struct cg_connections *c = g_new0(struct cg_connections, 1);
+
+	c->clk = clk;
+	pthread_mutex_init(&c->lock, NULL);
+	c->pools =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_pool);
+	return c;
+}
+
+void cg_connections_free(struct cg_connections *c)
+{
+	if (!c)
+		return;
+	g_hash_table_destroy(c->pools);
+	pthread_mutex_destroy(&c->lock);
+	g_free(c);
+}
+
+static uint32_t kept_limit(const struct cg_server *srv)
+{
+	uint32_t n = srv->connections / CONNECTION_SHARE;
+
+	if (n < KEPT_MIN)
+		return KEPT_MIN;
+	return n > KEPT_MAX ? KEPT_MAX : n;
+}
+
+/* A server that moved to another address gets a pool of its own. */
+static struct server_pool *get_pool(struct cg_connections *c,
+				    const struct cg_server *srv)
+{
+	char key[160];
+	struct server_pool *p;
+
+	g_snprintf(key, sizeof(key), "%s %s:%u", srv->name, srv->host,
+		   srv->port);
+	p = g_hash_table_lookup(c->pools, key);
+	if (!p) {
+		p = g_new0(struct server_pool, 1);
+		g_strlcpy(p->key, key, sizeof(p->key));
+		CDS_INIT_LIST_HEAD(&p->idle);
+		p->condemned_before = -1;
+		g_hash_table_insert(c->pools, p->key, p);
+	}
+	p->idle_max = kept_limit(srv);
+	return p;
+}
+
+static void notified(void *arg, ne_session_status status,
+		     const ne_session_status_info *info)
+{
+	struct cg_connection *conn = arg;
+
+	(void)info;
+	if (status == ne_status_connected) {
+		conn->connects++;
+		conn->opened_at = cg_clock_now(conn->clk);
+		cg_count(CG_COUNTER_CONNECTIONS_OPENED);
+	}
+}
+
+static struct cg_connection *open_connection(struct cg_connections *c,
+					     const struct cg_server *srv,
+					     struct server_pool *pool)
+{
+	struct cg_connection *conn = g_new0(struct cg_connection, 1);
+
+	conn->pool_key = pool->key;
+	conn->clk = c->clk;
+	conn->opened_at = cg_clock_now(c->clk);
+	conn->session = ne_session_create("http", srv->host, srv->port);
+	ne_set_notifier(conn->session, notified, conn);
+	return conn;
+}
+
+static bool usable(const struct server_pool *p, const struct cg_connection *c,
+		   cg_ms now)
+{
+	return c->opened_at > p->condemned_before &&
+	       now - c->idle_since < IDLE_MAX_MS;
+}
+
+/* Takes the most recently used connection that is still usable; the others
+ * before it move to @stale. */
+static struct cg_connection *take_idle(struct server_pool *p, cg_ms now,
+				       struct cds_list_head *stale)
+{
+	struct cg_connection *c, *next;
+
+	cds_list_for_each_entry_safe(c, next, &p->idle, node) {
+		cds_list_del(&c->node);
+		p->idle_count--;
+		if (usable(p, c, now))
+			return c;
+		cds_list_add(&c->node, stale);
+	}
+	return NULL;
+}
+
+static void free_list(struct cds_list_head *list)
+{
+	struct cg_connection *c, *next;
+
+	cds_list_for_each_entry_safe(c, next, list, node)
+		free_connection(c);
+}
+
+struct cg_connection *cg_connections_take(struct cg_connections *c,
+					  const struct cg_server *srv,
+					  bool fresh)
+{
+	CDS_LIST_HEAD(stale);
+	cg_ms now = cg_clock_now(c->clk);
+	struct cg_connection *conn = NULL;
+	struct server_pool *pool;
+
+	pthread_mutex_lock(&c->lock);
+	pool = get_pool(c, srv);
+	if (!fresh)
+		conn = take_idle(pool, now, &stale);
+	pthread_mutex_unlock(&c->lock);
+	free_list(&stale);
+	if (!conn)
+		conn = open_connection(c, srv, pool);
+	return conn;
+}
+
+void cg_connections_put(struct cg_connections *c, struct cg_connection *conn)
+{
+	struct cg_connection *excess = NULL;
+	struct server_pool *p;
+
+	conn->idle_since = cg_clock_now(c->clk);
+	conn->uses++;
+	pthread_mutex_lock(&c->lock);
+	p = g_hash_table_lookup(c->pools, conn->pool_key);
+	if (conn->opened_at <= p->condemned_before) {
+		excess = conn;
+	} else {
+		cds_list_add(&conn->node, &p->idle);
+		p->idle_count++;
+		if (p->idle_count > p->idle_max) {
+			excess = cds_list_entry(p->idle.prev,
+						struct cg_connection, node);
+			cds_list_del(&excess->node);
+			p->idle_count--;
+		}
+	}
+	pthread_mutex_unlock(&c->lock);
+	if (excess)
+		free_connection(excess);
+}
+
+void cg_connections_drop(struct cg_connections *c, struct cg_connection *conn)
+{
+	(void)c;
+	free_connection(conn);
+}
+
+bool cg_connection_reused(const struct cg_connection *conn)
+{
+	return conn->uses > 0;
+}
+
+cg_ms cg_connection_opened_at(const struct cg_connection *conn)
+{
+	return conn->opened_at;
+}
+
+static bool pool_is_of(const struct server_pool *p, const char *server)
+{
+	size_t n = strlen(server);
+
+	return !strncmp(p->key, server, n) && p->key[n] == ' ';
+}
+
+void cg_connections_condemn(struct cg_connections *c, const char *server,
+			    cg_ms opened_at)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	pthread_mutex_lock(&c->lock);
+	g_hash_table_iter_init(&it, c->pools);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct server_pool *p = value;
+
+		if (pool_is_of(p, server) && p->condemned_before < opened_at)
+			p->condemned_before = opened_at;
+	}
+	pthread_mutex_unlock(&c->lock);
+	cg_count(CG_COUNTER_CONNECTIONS_CONDEMNED);
+	cg_info("a kept connection to %s went silent; older ones are closed",
+		server);
+}
--- /dev/null
+++ b/src/request/filters.c
@@ -0,0 +1,244 @@
+#define CG_PART "filters"
+#include "internal/proxy.h"
+
+#include <stdlib.h>
+
+#include "celeryglade/counters.h"
+#include "internal/claims.h"
+#include "internal/dispatcher.h"
+#include "internal/logging.h"
+
+/*
+ * Design note. The filters run in the order of the chain. A filter that waits
+ * has arranged that cg_filters_continue() is called later, on any thread; the
+ * request's reference that the chain holds passes to that call. The deadline
+ * may settle a request while it waits, so each continuation checks the phase.
+ */
+
+enum filter_kind {
+	FILTER_ROUTE,
+	FILTER_KEY,
+	FILTER_RATE,
+	FILTER_CLAIM,
+	FILTER_QUEUE,
+};
+
+enum filter_result_kind {
+	FILTER_CONTINUE,
+	FILTER_WAIT,
+	FILTER_REFUSE,
+};
+
+struct filter_result {
+	enum filter_result_kind kind;
+	union {
+		enum cg_reason refusal;
+	} u;
+};
+
+static const enum filter_kind chain[] = {
+	FILTER_ROUTE, FILTER_KEY, FILTER_RATE, FILTER_CLAIM, FILTER_QUEUE,
+};
+#define CHAIN_LENGTH (sizeof(chain) / sizeof(chain[0]))
+
+static struct filter_result go_on(void)
+{
+	return (struct filter_result){ .kind = FILTER_CONTINUE };
+}
+
+static struct filter_result wait_for(void)
+{
+	return (struct filter_result){ .kind = FILTER_WAIT };
+}
+
+static struct filter_result refuse(enum cg_reason reason)
+{
+	return (struct filter_result){ .kind = FILTER_REFUSE,
+				       .u.refusal = reason };
+}
+
+static void deadline_passed(struct cg_timer *t)
+{
+	struct cg_request *r =
+		caa_container_of(t, struct cg_request, deadline_timer);
+
+	cg_dispatcher_expire(r->proxy->dispatcher, r);
+	cg_request_unref(r);
+}
+
+static struct filter_result filter_route(struct cg_request *r)
+{
+	bool method_refused = false;
+
+	r->config = cg_docs_config(r->proxy->docs);
+	if (!r->config)
+		return refuse(CG_REASON_NO_CONFIG);
+	r->route =
+		cg_config_route(r->config, r->method, r->path, &method_refused);
+	if (!r->route)
+		return refuse(method_refused ? CG_REASON_METHOD_NOT_ALLOWED
+					     : CG_REASON_ROUTE_UNKNOWN);
+	r->deadline = r->arrived + r->route->deadline_ms;
+	r->deadline_timer.fire = deadline_passed;
+	cg_request_ref(r);
+	cg_timers_add(r->proxy->timers, &r->deadline_timer, r->deadline);
+	return go_on();
+}
+
+static bool account_allowed(const struct cg_route *route,
+			    const struct cg_account *a)
+{
+	if (!route->accounts)
+		return true;
+	for (size_t i = 0; i < route->account_count; i++)
+		if (route->accounts[i] == a)
+			return true;
+	return false;
+}
+
+static struct filter_result filter_key(struct cg_request *r)
+{
+	uint8_t digest[CG_DIGEST_SIZE];
+
+	if (r->route->open)
+		return go_on();
+	if (!r->bearer)
+		return refuse(CG_REASON_KEY_MISSING);
+	if (!cg_trust_accepts_keys(r->proxy->settings, r->proxy->clk,
+				   r->proxy->docs, r->proxy->members))
+		return refuse(CG_REASON_KEYS_STALE);
+	cg_key_digest(r->bearer, digest);
+	r->account = cg_config_key(r->config, digest);
+	if (!r->account || cg_notices_is_revoked(r->proxy->notices, digest))
+		return refuse(CG_REASON_KEY_UNKNOWN);
+	if (!account_allowed(r->route, r->account))
+		return refuse(CG_REASON_ACCOUNT_FORBIDDEN);
+	return go_on();
+}
+
+static enum cg_reason rate_reason(enum cg_rate_result result)
+{
+	switch (result) {
+	case CG_RATE_ADMITTED:
+		return CG_OK;
+	case CG_RATE_REFUSED:
+		return CG_REASON_RATE_EXCEEDED;
+	case CG_RATE_UNAVAILABLE:
+		return CG_REASON_RATE_UNAVAILABLE;
+	case CG_RATE_WAIT:
+		break;
+	}
+	abort();
+}
+
+static void rate_decided(struct cg_rate_waiter *w, enum cg_rate_result result)
+{
+	struct cg_request *r =
+		caa_container_of(w, struct cg_request, rate_waiter);
+	enum cg_reason reason = rate_reason(result);
+
+	if (reason == CG_OK)
+		cg_filters_continue(r);
+	else
+		cg_request_refuse(r, reason);
+	cg_request_unref(r);
+}
+
+static struct filter_result filter_rate(struct cg_request *r)
+{
+	enum cg_rate_result result;
+
+	if (!r->account)
+		return go_on();
+	r->rate_waiter.done = rate_decided;
+	cg_request_ref(r);
+	result = cg_rates_take(r->proxy->rates, r->account, &r->rate_waiter);
+	if (result == CG_RATE_WAIT)
+		return wait_for();
+	cg_request_unref(r);
+	if (result == CG_RATE_ADMITTED)
+		return go_on();
+	return refuse(rate_reason(result));
+}
+
+static struct filter_result filter_claim(struct cg_request *r)
+{
+	if (r->route->idempotent || !r->idempotency_key)
+		return go_on();
+	if (cg_claim_start(r->proxy->claims, r))
+		return refuse(CG_REASON_CLAIM_UNAVAILABLE);
+	return wait_for();
+}
+
+static struct filter_result filter_queue(struct cg_request *r)
+{
+	if (cg_dispatcher_enqueue(r->proxy->dispatcher, r))
+		return refuse(CG_REASON_QUEUE_FULL);
+	return wait_for();
+}
+
+static struct filter_result run_filter(enum filter_kind kind,
+				       struct cg_request *r)
+{
+	switch (kind) {
+	case FILTER_ROUTE:
+		return filter_route(r);
+	case FILTER_KEY:
+		return filter_key(r);
+	case FILTER_RATE:
+		return filter_rate(r);
+	case FILTER_CLAIM:
+		return filter_claim(r);
+	case FILTER_QUEUE:
+		return filter_queue(r);
+	}
+	abort();
+}
+
+static bool is_settled(struct cg_request *r)
+{
+	bool settled;
+
+	pthread_mutex_lock(&r->lock);
+	settled = r->phase == CG_PHASE_SETTLED;
+	pthread_mutex_unlock(&r->lock);
+	return settled;
+}
+
+static void run_chain(struct cg_request *r)
+{
+	while (r->next_filter < CHAIN_LENGTH && !is_settled(r)) {
+		/* Counted before it runs: a filter that waits may be continued
+		 * on another thread before it returns here. */
+		enum filter_kind kind = chain[r->next_filter++];
+		struct filter_result res = run_filter(kind, r);
+
+		switch (res.kind) {
+		case FILTER_CONTINUE:
+			break;
+		case FILTER_WAIT:
+			return;
+		case FILTER_REFUSE:
+			cg_request_refuse(r, res.u.refusal);
+			return;
+		}
+	}
+}
+
+void cg_filters_start(struct cg_request *r)
+{
+	cg_count(CG_COUNTER_REQUESTS);
+	r->next_filter = 0;
+	r->phase = CG_PHASE_FILTERING;
+	cg_request_ref(r);
+	if (r->fault != CG_OK)
+		cg_request_refuse(r, r->fault);
+	else
+		run_chain(r);
+	cg_request_unref(r);
+}
+
+void cg_filters_continue(struct cg_request *r)
+{
+	run_chain(r);
+}
--- /dev/null
+++ b/src/request/forward.c
@@ -0,0 +1,220 @@
+#include "internal/connections.h"
+
+#include <ne_utils.h>
+#include <string.h>
+
+#include "celeryglade/counters.h"
+#include "internal/connection_private.h"
+
+/*
+ * Design note. neon sends a request a second time on its own if a kept
+ * connection closes without a response, unless NE_REQFLAG_IDEMPOTENT is
+ * cleared. With the flag cleared neon also closes a kept connection before it
+ * sends. So the flag follows the route: idempotent requests use kept
+ * connections, and a resend by neon is counted as a retry; non-idempotent
+ * requests always go out on a new connection, and only once.
+ *
+ * A new connection also settles what a failure proves: if it was never
+ * established, no byte of the request went out.
+ */
+
+#define MAX_RESPONSE_BYTES (8 << 20)
+#define READ_BLOCK	   16384
+
+static int whole_seconds(cg_ms ms)
+{
+	int s = (int)((ms + 999) / 1000);
+
+	return s < 1 ? 1 : s;
+}
+
+static void add_headers(ne_request *req, const struct cg_request *r,
+			const char *attempt_id, cg_ms time_left)
+{
+	for (guint i = 0; i < r->headers->len; i++) {
+		struct cg_header *h =
+			&g_array_index(r->headers, struct cg_header, i);
+
+		ne_add_request_header(req, h->name, h->value);
+	}
+	ne_add_request_header(req, "X-Request-Id", r->id);
+	ne_add_request_header(req, "Celeryglade-Attempt", attempt_id);
+	ne_print_request_header(req, "Celeryglade-Deadline-Ms", "%lld",
+				(long long)time_left);
+	if (r->account)
+		ne_add_request_header(req, "Celeryglade-Account",
+				      r->account->name);
+}
+
+/* Headers that concern one connection, or the daemon and the server only. */
+static bool is_passed_on(const char *name)
+{
+	static const char *const own[] = {
+		"connection",
+		"keep-alive",
+		"proxy-authenticate",
+		"transfer-encoding",
+		"trailer",
+		"upgrade",
+		"content-length",
+		"draining",
+		"load",
+		"not-run",
+		"celeryglade-attempt",
+		"x-request-id",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(own); i++)
+		if (!g_ascii_strcasecmp(name, own[i]))
+			return false;
+	return true;
+}
+
+static GArray *copy_headers(ne_request *req)
+{
+	GArray *out = cg_headers_new();
+	void *cursor = NULL;
+	const char *name, *value;
+
+	while ((cursor =
+			ne_response_header_iterate(req, cursor, &name, &value)))
+		if (is_passed_on(name))
+			cg_headers_add(out, name, value);
+	return out;
+}
+
+/* Reads the body up to its stated end. Returns neon's result, or -1 if it is
+ * too large. */
+static int read_body(ne_request *req, GByteArray *body)
+{
+	char buf[READ_BLOCK];
+	ssize_t n;
+
+	while ((n = ne_read_response_block(req, buf, sizeof(buf))) > 0) {
+		if (body->len + (size_t)n > MAX_RESPONSE_BYTES)
+			return -1;
+		g_byte_array_append(body, (guint8 *)buf, (guint)n);
+	}
+	return n < 0 ? NE_ERROR : NE_OK;
+}
+
+/* A body that ends when the connection closes cannot be told from a truncated
+ * one. */
+static bool has_stated_end(ne_request *req, const struct cg_request *r,
+			   int status)
+{
+	const char *coding = ne_get_response_header(req, "Transfer-Encoding");
+
+	if (r->method == CG_METHOD_HEAD || status == 204 || status == 304)
+		return true;
+	if (coding && !g_ascii_strcasecmp(coding, "chunked"))
+		return true;
+	return ne_get_response_header(req, "Content-Length") != NULL;
+}
+
+static bool is_mismatched(ne_request *req, const struct cg_request *r,
+			  const char *attempt_id)
+{
+	const char *echo = ne_get_response_header(req, "Celeryglade-Attempt");
+
+	if (!echo)
+		return r->route->service->echo_attempt;
+	return strcmp(echo, attempt_id) != 0;
+}
+
+static bool header_is_set(ne_request *req, const char *name)
+{
+	const char *v = ne_get_response_header(req, name);
+
+	return v && !strcmp(v, "1");
+}
+
+static void classify_failure(const struct cg_connection *conn, bool kept,
+			     int rc, struct cg_attempt_result *out)
+{
+	g_strlcpy(out->detail, ne_get_error(conn->session),
+		  sizeof(out->detail));
+	if (!kept && conn->connects == 0)
+		out->end = CG_ATTEMPT_NOT_SENT;
+	else if (rc == NE_TIMEOUT)
+		out->end = CG_ATTEMPT_TIMED_OUT;
+	else
+		out->end = CG_ATTEMPT_LOST;
+}
+
+static void classify_response(ne_request *req, const struct cg_request *r,
+			      const char *attempt_id, GByteArray *body,
+			      struct cg_attempt_result *out)
+{
+	int status = ne_get_status(req)->code;
+
+	out->draining = header_is_set(req, "Draining");
+	if (is_mismatched(req, r, attempt_id)) {
+		out->end = CG_ATTEMPT_MISMATCHED;
+		return;
+	}
+	if (!has_stated_end(req, r, status)) {
+		out->end = CG_ATTEMPT_TRUNCATED;
+		return;
+	}
+	if (status == 503 && header_is_set(req, "Not-Run")) {
+		out->end = CG_ATTEMPT_SHED;
+		out->keep = true;
+		return;
+	}
+	out->end = CG_ATTEMPT_RESPONDED;
+	out->keep = !out->draining;
+	out->response.status = status;
+	out->response.headers = copy_headers(req);
+	out->response.body = g_bytes_new(body->data, body->len);
+}
+
+static void exchange(struct cg_connection *conn, ne_request *req,
+		     const struct cg_request *r, const char *attempt_id,
+		     bool kept, struct cg_attempt_result *out)
+{
+	GByteArray *body = g_byte_array_new();
+	int rc = ne_begin_request(req);
+
+	if (rc != NE_OK) {
+		classify_failure(conn, kept, rc, out);
+		goto out;
+	}
+	rc = read_body(req, body);
+	if (rc == NE_OK)
+		rc = ne_end_request(req);
+	if (rc == -1) {
+		out->end = CG_ATTEMPT_TOO_LARGE;
+	} else if (rc != NE_OK) {
+		g_strlcpy(out->detail, ne_get_error(conn->session),
+			  sizeof(out->detail));
+		out->end = CG_ATTEMPT_TRUNCATED;
+	} else {
+		classify_response(req, r, attempt_id, body, out);
+	}
+out:
+	g_byte_array_unref(body);
+}
+
+void cg_forward(struct cg_connection *conn, const struct cg_request *r,
+		const char *attempt_id, cg_ms timeout, cg_ms time_left,
+		struct cg_attempt_result *out)
+{
+	bool kept = conn->uses > 0 && r->route->idempotent;
+	ne_request *req =
+		ne_request_create(conn->session, r->method_text, r->target);
+
+	memset(out, 0, sizeof(*out));
+	conn->connects = 0;
+	ne_set_read_timeout(conn->session, whole_seconds(timeout));
+	ne_set_connect_timeout(conn->session, whole_seconds(timeout));
+	ne_set_request_flag(req, NE_REQFLAG_IDEMPOTENT, r->route->idempotent);
+	add_headers(req, r, attempt_id, time_left);
+	if (r->body->len > 0)
+		ne_set_request_body_buffer(req, (char *)r->body->data,
+					   r->body->len);
+	exchange(conn, req, r, attempt_id, kept, out);
+	ne_request_destroy(req);
+	if (kept && conn->connects > 0)
+		cg_count_retry(CG_RETRY_CONNECTION_LOST);
+}
--- /dev/null
+++ b/src/request/front.c
@@ -0,0 +1,365 @@
+#define CG_PART "front"
+#include "internal/front.h"
+
+#include <microhttpd.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "internal/logging.h"
+
+#define IDLE_TIMEOUT_S	  75
+#define CONNECTION_MEMORY (32 * 1024)
+#define MAX_HEADERS	  100
+#define BEARER		  "Bearer "
+
+struct cg_front {
+	struct cg_proxy *proxy;
+	struct MHD_Daemon *daemon;
+};
+
+/* Facts that a walk over the headers gathers. */
+struct header_walk {
+	struct cg_request *request;
+	const char *connection; /* Value of the Connection header. */
+	const char *request_id;
+	const char *length;
+	unsigned int count;
+	unsigned int lengths;
+	unsigned int codings;
+	unsigned int hosts;
+	unsigned int keys;
+	unsigned int idempotency_keys;
+	bool bad_coding;
+};
+
+/* Headers that concern one connection, that neon sets itself, or that only
+ * this daemon may set. The key never goes further than this daemon. */
+static bool is_hop_header(const char *name)
+{
+	static const char *const own[] = {
+		"connection",
+		"keep-alive",
+		"proxy-connection",
+		"proxy-authorization",
+		"te",
+		"trailer",
+		"transfer-encoding",
+		"upgrade",
+		"expect",
+		"host",
+		"content-length",
+		"authorization",
+		"x-request-id",
+		"celeryglade-attempt",
+		"celeryglade-account",
+		"celeryglade-deadline-ms",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(own); i++)
+		if (!g_ascii_strcasecmp(name, own[i]))
+			return true;
+	return false;
+}
+
+static void note_special(struct header_walk *w, const char *name,
+			 const char *value)
+{
+	struct cg_request *r = w->request;
+
+	if (!g_ascii_strcasecmp(name, "Content-Length")) {
+		w->lengths++;
+		w->length = value;
+	} else if (!g_ascii_strcasecmp(name, "Transfer-Encoding")) {
+		w->codings++;
+		w->bad_coding |= g_ascii_strcasecmp(value, "chunked") != 0;
+	} else if (!g_ascii_strcasecmp(name, "Host")) {
+		w->hosts++;
+		cg_headers_add(r->headers, "X-Forwarded-Host", value);
+	} else if (!g_ascii_strcasecmp(name, "Connection")) {
+		w->connection = value;
+	} else if (!g_ascii_strcasecmp(name, "X-Request-Id")) {
+		w->request_id = value;
+	} else if (!g_ascii_strcasecmp(name, "Authorization")) {
+		w->keys++;
+		if (!g_ascii_strncasecmp(value, BEARER, strlen(BEARER)) &&
+		    !r->bearer)
+			r->bearer = g_strdup(value + strlen(BEARER));
+	} else if (!g_ascii_strcasecmp(name, "Idempotency-Key")) {
+		w->idempotency_keys++;
+		if (!r->idempotency_key)
+			r->idempotency_key = g_strdup(value);
+	}
+}
+
+static enum MHD_Result walk_header(void *cls, enum MHD_ValueKind kind,
+				   const char *name, const char *value)
+{
+	struct header_walk *w = cls;
+
+	(void)kind;
+	if (!value)
+		value = "";
+	w->count++;
+	note_special(w, name, value);
+	if (!is_hop_header(name))
+		cg_headers_add(w->request->headers, name, value);
+	return MHD_YES;
+}
+
+/* Removes the headers that the caller's Connection header names. */
+static void drop_nominated(struct cg_request *r, const char *connection)
+{
+	char **names;
+
+	if (!connection)
+		return;
+	names = g_strsplit(connection, ",", MAX_HEADERS);
+	for (char **n = names; *n; n++) {
+		g_strstrip(*n);
+		for (guint i = r->headers->len; i > 0; i--) {
+			struct cg_header *h = &g_array_index(
+				r->headers, struct cg_header, i - 1);
+
+			if (!g_ascii_strcasecmp(h->name, *n))
+				g_array_remove_index(r->headers, i - 1);
+		}
+	}
+	g_strfreev(names);
+}
+
+static bool is_plain_id(const char *id)
+{
+	size_t n = strlen(id);
+
+	if (n == 0 || n > CG_REQUEST_ID_MAX)
+		return false;
+	for (size_t i = 0; i < n; i++)
+		if (!g_ascii_isalnum(id[i]) && !strchr("-_.", id[i]))
+			return false;
+	return true;
+}
+
+static bool is_number(const char *text)
+{
+	return *text && strspn(text, "0123456789") == strlen(text) &&
+	       strlen(text) < 18;
+}
+
+/* Two lengths, or a length beside a transfer coding, let two parsers disagree
+ * on where a request ends. */
+static enum cg_reason check_framing(const struct header_walk *w)
+{
+	const struct cg_settings *s = w->request->proxy->settings;
+
+	if (w->lengths + w->codings > 1 || w->bad_coding || w->hosts > 1 ||
+	    w->keys > 1 || w->idempotency_keys > 1 || w->count > MAX_HEADERS)
+		return CG_REASON_BAD_REQUEST;
+	if (w->length && !is_number(w->length))
+		return CG_REASON_BAD_REQUEST;
+	if (w->length &&
+	    g_ascii_strtoull(w->length, NULL, 10) > s->max_body_bytes)
+		return CG_REASON_BODY_TOO_LARGE;
+	return CG_OK;
+}
+
+static enum cg_reason check_request(const struct cg_request *r)
+{
+	if (r->target[0] != '/')
+		return CG_REASON_BAD_REQUEST;
+	if (!r->method)
+		return CG_REASON_METHOD_NOT_ALLOWED;
+	if (r->idempotency_key &&
+	    (!*r->idempotency_key || strlen(r->idempotency_key) > 255))
+		return CG_REASON_BAD_REQUEST;
+	return CG_OK;
+}
+
+static void read_head(struct cg_request *r, struct MHD_Connection *conn,
+		      const char *method)
+{
+	struct header_walk w = { .request = r };
+
+	r->connection = conn;
+	r->method_text = g_strdup(method);
+	r->method = cg_method_parse(method);
+	r->arrived = cg_clock_now(r->proxy->clk);
+	MHD_get_connection_values(conn, MHD_HEADER_KIND, walk_header, &w);
+	drop_nominated(r, w.connection);
+	if (w.request_id && is_plain_id(w.request_id))
+		g_strlcpy(r->id, w.request_id, sizeof(r->id));
+	r->fault = check_framing(&w);
+	if (r->fault == CG_OK)
+		r->fault = check_request(r);
+}
+
+static void append_body(struct cg_request *r, const char *data, size_t len)
+{
+	if (r->fault != CG_OK)
+		return;
+	if (r->body->len + len > r->proxy->settings->max_body_bytes)
+		r->fault = CG_REASON_BODY_TOO_LARGE;
+	else
+		g_byte_array_append(r->body, (const guint8 *)data, (guint)len);
+}
+
+static struct MHD_Response *make_response(struct cg_request *r)
+{
+	GBytes *body =
+		r->response.body ? r->response.body : g_bytes_new_static("", 0);
+	struct MHD_Response *m;
+	gsize len;
+	const void *data = g_bytes_get_data(body, &len);
+
+	m = MHD_create_response_from_buffer_with_free_callback_cls(
+		len, (void *)(data ? data : ""),
+		(MHD_ContentReaderFreeCallback)g_bytes_unref, body);
+	r->response.body = NULL;
+	if (!m)
+		return NULL;
+	for (guint i = 0; r->response.headers && i < r->response.headers->len;
+	     i++) {
+		struct cg_header *h = &g_array_index(r->response.headers,
+						     struct cg_header, i);
+
+		MHD_add_response_header(m, h->name, h->value);
+	}
+	MHD_add_response_header(m, "X-Request-Id", r->id);
+	if (atomic_load(&r->proxy->stopping) ||
+	    r->reason == CG_REASON_BAD_REQUEST)
+		MHD_add_response_header(m, "Connection", "close");
+	return m;
+}
+
+static enum MHD_Result send_response(struct cg_request *r,
+				     struct MHD_Connection *conn)
+{
+	struct MHD_Response *m = make_response(r);
+	enum MHD_Result rc;
+
+	if (!m)
+		return MHD_NO;
+	rc = MHD_queue_response(conn, (unsigned int)r->response.status, m);
+	MHD_destroy_response(m);
+	return rc;
+}
+
+/* Called with the head, then with each piece of the body, then without data
+ * when the request is whole, and once more after the connection was resumed. */
+static enum MHD_Result handle(void *cls, struct MHD_Connection *conn,
+			      const char *url, const char *method,
+			      const char *version, const char *data,
+			      size_t *data_size, void **state)
+{
+	struct cg_request *r = *state;
+
+	(void)cls;
+	(void)url;
+	(void)version;
+	if (!r)
+		return MHD_NO;
+	if (!r->connection) {
+		read_head(r, conn, method);
+		/* Refuses at once what would be discarded anyway; the
+		 * connection closes if a body follows. */
+		if (r->fault == CG_OK)
+			return MHD_YES;
+		cg_filters_start(r);
+		return send_response(r, conn);
+	}
+	if (*data_size) {
+		append_body(r, data, *data_size);
+		*data_size = 0;
+		return MHD_YES;
+	}
+	if (r->suspended)
+		return send_response(r, conn);
+	r->suspended = true;
+	MHD_suspend_connection(conn);
+	cg_filters_start(r);
+	return MHD_YES;
+}
+
+/* The first callback of a request: the only one that sees the target as it was
+ * sent, with its query. */
+static void *begin(void *cls, const char *uri, struct MHD_Connection *conn)
+{
+	struct cg_front *f = cls;
+
+	(void)conn;
+	return cg_request_new(f->proxy, uri);
+}
+
+static void completed(void *cls, struct MHD_Connection *conn, void **state,
+		      enum MHD_RequestTerminationCode code)
+{
+	(void)cls;
+	(void)conn;
+	(void)code;
+	if (*state)
+		cg_request_unref(*state);
+	*state = NULL;
+}
+
+static void log_mhd(void *cls, const char *fmt, va_list ap)
+	__attribute__((format(printf, 2, 0)));
+static void log_mhd(void *cls, const char *fmt, va_list ap)
+{
+	char *text = g_strdup_vprintf(fmt, ap);
+
+	(void)cls;
+	cg_debug("%s", g_strstrip(text));
+	g_free(text);
+}
+
+struct cg_front *cg_front_new(struct cg_proxy *p)
+{
+	const struct cg_settings *s = p->settings;
+	struct cg_front *f = g_new0(struct cg_front, 1);
+
+	f->proxy = p;
+	f->daemon = MHD_start_daemon(
+		MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME |
+			MHD_USE_ITC | MHD_USE_ERROR_LOG,
+		0, NULL, NULL, handle, f, MHD_OPTION_EXTERNAL_LOGGER, log_mhd,
+		NULL, MHD_OPTION_SOCK_ADDR, &s->listen,
+		MHD_OPTION_URI_LOG_CALLBACK, begin, f,
+		MHD_OPTION_NOTIFY_COMPLETED, completed, f,
+		MHD_OPTION_THREAD_POOL_SIZE, (unsigned int)s->http_threads,
+		MHD_OPTION_CONNECTION_LIMIT, (unsigned int)s->max_connections,
+		MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)IDLE_TIMEOUT_S,
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
+		MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
+	if (f->daemon)
+		return f;
+	g_free(f);
+	return NULL;
+}
+
+void cg_front_resume(struct cg_request *r)
+{
+	MHD_resume_connection(r->connection);
+}
+
+void cg_front_quiesce(struct cg_front *f)
+{
+	int fd = MHD_quiesce_daemon(f->daemon);
+
+	if (fd >= 0)
+		close(fd);
+}
+
+unsigned int cg_front_connections(struct cg_front *f)
+{
+	const union MHD_DaemonInfo *i = MHD_get_daemon_info(
+		f->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+
+	return i ? i->num_connections : 0;
+}
+
+void cg_front_free(struct cg_front *f)
+{
+	if (!f)
+		return;
+	MHD_stop_daemon(f->daemon);
+	g_free(f);
+}
--- /dev/null
+++ b/src/request/timers.c
@@ -0,0 +1,123 @@
+#include "internal/timers.h"
+
+#include <glib.h>
+#include <pthread.h>
+#include <stdatomic.h>
+
+#define TICK_MS 5
+#define SLOTS	4096
+
+struct cg_timers {
+	struct cg_clock *clk;
+	pthread_mutex_t lock;
+	struct cds_list_head slots[SLOTS];
+	int64_t tick; /* Last tick that was handled. */
+	pthread_t thread;
+	_Atomic bool stopping;
+};
+
+/* Moves the due timers of one slot to @due. Timers of later turns of the wheel
+ * share the slot and stay. */
+static void collect_due(struct cg_timers *w, int64_t tick, cg_ms now,
+			struct cds_list_head *due)
+{
+	struct cg_timer *t, *next;
+
+	cds_list_for_each_entry_safe(t, next, &w->slots[tick % SLOTS], node) {
+		if (t->due > now)
+			continue;
+		cds_list_del(&t->node);
+		t->armed = false;
+		cds_list_add_tail(&t->node, due);
+	}
+}
+
+static void run_due(struct cds_list_head *due)
+{
+	struct cg_timer *t, *next;
+
+	cds_list_for_each_entry_safe(t, next, due, node) {
+		cds_list_del(&t->node);
+		t->fire(t);
+	}
+}
+
+static void *run(void *arg)
+{
+	struct cg_timers *w = arg;
+
+	while (!atomic_load(&w->stopping)) {
+		CDS_LIST_HEAD(due);
+		cg_ms now;
+		int64_t last;
+
+		cg_sleep(TICK_MS);
+		now = cg_clock_now(w->clk);
+		pthread_mutex_lock(&w->lock);
+		last = now / TICK_MS;
+		/* After a pause longer than a turn every slot is visited
+		 * once. */
+		if (last - w->tick > SLOTS)
+			w->tick = last - SLOTS;
+		while (w->tick < last)
+			collect_due(w, ++w->tick, now, &due);
+		pthread_mutex_unlock(&w->lock);
+		run_due(&due);
+	}
+	return NULL;
+}
+
+struct cg_timers *cg_timers_new(struct cg_clock *clk)
+{
+	struct cg_timers *w = g_new0(struct cg_timers, 1);
+
+	w->clk = clk;
+	pthread_mutex_init(&w->lock, NULL);
+	for (int i = 0; i < SLOTS; i++)
+		CDS_INIT_LIST_HEAD(&w->slots[i]);
+	w->tick = cg_clock_now(clk) / TICK_MS;
+	if (pthread_create(&w->thread, NULL, run, w)) {
+		pthread_mutex_destroy(&w->lock);
+		g_free(w);
+		return NULL;
+	}
+	return w;
+}
+
+void cg_timers_free(struct cg_timers *w)
+{
+	if (!w)
+		return;
+	atomic_store(&w->stopping, true);
+	pthread_join(w->thread, NULL);
+	pthread_mutex_destroy(&w->lock);
+	g_free(w);
+}
+
+void cg_timers_add(struct cg_timers *w, struct cg_timer *t, cg_ms due)
+{
+	/* One tick past the due time, so that a timer never fires early. */
+	int64_t tick = due / TICK_MS + 1;
+
+	pthread_mutex_lock(&w->lock);
+	if (tick <= w->tick)
+		tick = w->tick + 1;
+	t->due = due;
+	t->armed = true;
+	cds_list_add_tail(&t->node, &w->slots[tick % SLOTS]);
+	pthread_mutex_unlock(&w->lock);
+}
+
+bool cg_timers_cancel(struct cg_timers *w, struct cg_timer *t)
+{
+	bool armed;
+
+	pthread_mutex_lock(&w->lock);
+	armed = t->armed;
+	if (armed) {
+		cds_list_del(&t->node);
+		t->armed = false;
+	}
+	pthread_mutex_unlock(&w->lock);
+	return armed;
+}
--- /dev/null
+++ b/tests/test_forward.c
@@ -0,0 +1,239 @@
+/* Guards against a request that is sent twice by the HTTP library, a failure
+ * that is wrongly taken as proof of not running, and responses that are
+ * truncated or belong to another request but pass as whole. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include <ne_socket.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "internal/connections.h"
+#include "internal/proxy.h"
+#include "support/raw_server.h"
+
+#define WHOLE                                                                  \
+	"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"                             \
+	"Celeryglade-Attempt: %s\r\n\r\nok"
+
+struct fixture {
+	struct raw_server server;
+	struct cg_clock clk;
+	struct cg_connections *connections;
+	struct cg_service service;
+	struct cg_server srv;
+	struct cg_route route;
+	struct cg_proxy proxy;
+	struct cg_request *request;
+};
+
+static int setup(void **state)
+{
+	struct fixture *f = calloc(1, sizeof(*f));
+
+	*state = f;
+	ne_sock_init();
+	if (!f || raw_server_start(&f->server))
+		return -1;
+	cg_clock_init_boot(&f->clk);
+	f->proxy.clk = &f->clk;
+	f->connections = cg_connections_new(&f->clk);
+	strcpy(f->srv.name, "s");
+	strcpy(f->srv.host, "127.0.0.1");
+	f->srv.port = f->server.port;
+	f->srv.connections = 400;
+	f->srv.service = &f->service;
+	f->route.service = &f->service;
+	f->route.idempotent = true;
+	f->request = cg_request_new(&f->proxy, "/x");
+	f->request->method = CG_METHOD_GET;
+	f->request->method_text = g_strdup("GET");
+	f->request->route = &f->route;
+	return 0;
+}
+
+static int teardown(void **state)
+{
+	struct fixture *f = *state;
+
+	cg_request_unref(f->request);
+	cg_connections_free(f->connections);
+	raw_server_stop(&f->server);
+	free(f);
+	return 0;
+}
+
+static void use_post(struct fixture *f)
+{
+	f->route.idempotent = false;
+	f->request->method = CG_METHOD_POST;
+	g_free(f->request->method_text);
+	f->request->method_text = g_strdup("POST");
+}
+
+static enum cg_attempt_end attempt(struct fixture *f, const char *id,
+				   cg_ms timeout)
+{
+	struct cg_connection *c = cg_connections_take(f->connections, &f->srv,
+						      !f->route.idempotent);
+	struct cg_attempt_result res;
+
+	cg_forward(c, f->request, id, timeout, timeout, &res);
+	if (res.keep)
+		cg_connections_put(f->connections, c);
+	else
+		cg_connections_drop(f->connections, c);
+	cg_response_clear(&res.response);
+	return res.end;
+}
+
+static enum cg_attempt_end answer_with(struct fixture *f, const char *answer)
+{
+	atomic_store(&f->server.answer, answer);
+	return attempt(f, "id-1", 1000);
+}
+
+static void kept_connection_is_used_again(void **state)
+{
+	struct fixture *f = *state;
+
+	assert_int_equal(answer_with(f, WHOLE), CG_ATTEMPT_RESPONDED);
+	assert_int_equal(answer_with(f, WHOLE), CG_ATTEMPT_RESPONDED);
+	assert_int_equal(f->server.connections, 1);
+}
+
+/* The server reads the second POST of a connection and closes it unanswered;
+ * neon by default sends that POST again on a new connection. */
+static void post_is_sent_once_when_the_server_closes(void **state)
+{
+	struct fixture *f = *state;
+
+	use_post(f);
+	assert_int_equal(answer_with(f, WHOLE), CG_ATTEMPT_RESPONDED);
+	atomic_store(&f->server.answered_per_connection, 0);
+	assert_int_equal(attempt(f, "id-2", 1000), CG_ATTEMPT_LOST);
+	assert_int_equal(f->server.requests, 2);
+}
+
+/* The same with neon's default shows that the flag is what protects. */
+static void library_default_would_send_a_post_twice(void **state)
+{
+	struct fixture *f = *state;
+
+	use_post(f);
+	f->route.idempotent = true; /* Leaves neon's flag set. */
+	atomic_store(&f->server.answered_per_connection, 1);
+	assert_int_equal(answer_with(f, WHOLE), CG_ATTEMPT_RESPONDED);
+	attempt(f, "id-2", 1000);
+	assert_int_equal(f->server.requests, 3);
+}
+
+static void refused_connection_proves_not_sent(void **state)
+{
+	struct fixture *f = *state;
+
+	use_post(f);
+	f->srv.port = 1;
+	assert_int_equal(attempt(f, "id", 1000), CG_ATTEMPT_NOT_SENT);
+}
+
+static void close_after_reading_proves_nothing(void **state)
+{
+	struct fixture *f = *state;
+
+	use_post(f);
+	atomic_store(&f->server.answer, WHOLE);
+	atomic_store(&f->server.answered_per_connection, 0);
+	assert_int_equal(attempt(f, "id", 1000), CG_ATTEMPT_LOST);
+}
+
+static void silent_server_times_out(void **state)
+{
+	struct fixture *f = *state;
+
+	use_post(f);
+	assert_int_equal(answer_with(f, ""), CG_ATTEMPT_TIMED_OUT);
+}
+
+static void incomplete_responses_are_not_whole(void **state)
+{
+	static const char *const bad[] = {
+		"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n"
+		"Connection: close\r\n\r\nshort",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+		"Connection: close\r\n\r\n5\r\nhello\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+		"Connection: close\r\n\r\n5\r\nhel",
+		/* Ends with the connection, so its end proves nothing. */
+		"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhello",
+	};
+
+	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
+		assert_int_equal(answer_with(*state, bad[i]),
+				 CG_ATTEMPT_TRUNCATED);
+}
+
+static void response_to_another_attempt_is_refused(void **state)
+{
+	struct fixture *f = *state;
+
+	assert_int_equal(answer_with(f, "HTTP/1.1 200 OK\r\nContent-Length: 2"
+					"\r\nCeleryglade-Attempt: other\r\n"
+					"\r\nok"),
+			 CG_ATTEMPT_MISMATCHED);
+	f->service.echo_attempt = true;
+	assert_int_equal(answer_with(f, "HTTP/1.1 200 OK\r\nContent-Length: 2"
+					"\r\n\r\nok"),
+			 CG_ATTEMPT_MISMATCHED);
+}
+
+static void shed_needs_its_proof(void **state)
+{
+	struct fixture *f = *state;
+
+	assert_int_equal(answer_with(f, "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n"
+					"Content-Length: 0\r\n\r\n"),
+			 CG_ATTEMPT_SHED);
+	assert_int_equal(answer_with(f, "HTTP/1.1 503 Busy\r\n"
+					"Content-Length: 0\r\n\r\n"),
+			 CG_ATTEMPT_RESPONDED);
+}
+
+static void condemned_connections_are_not_used_again(void **state)
+{
+	struct fixture *f = *state;
+	struct cg_connection *c;
+	cg_ms opened;
+
+	assert_int_equal(answer_with(f, WHOLE), CG_ATTEMPT_RESPONDED);
+	c = cg_connections_take(f->connections, &f->srv, false);
+	assert_true(cg_connection_reused(c));
+	opened = cg_connection_opened_at(c);
+	cg_connections_condemn(f->connections, "s", opened);
+	cg_connections_put(f->connections, c);
+	c = cg_connections_take(f->connections, &f->srv, false);
+	assert_false(cg_connection_reused(c));
+	cg_connections_drop(f->connections, c);
+}
+
+#define TEST(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		TEST(kept_connection_is_used_again),
+		TEST(post_is_sent_once_when_the_server_closes),
+		TEST(library_default_would_send_a_post_twice),
+		TEST(refused_connection_proves_not_sent),
+		TEST(close_after_reading_proves_nothing),
+		TEST(silent_server_times_out),
+		TEST(incomplete_responses_are_not_whole),
+		TEST(response_to_another_attempt_is_refused),
+		TEST(shed_needs_its_proof),
+		TEST(condemned_connections_are_not_used_again),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
