--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -52,12 +52,18 @@
 struct ctl_fleet {
 	struct cg_peer *peer;
 	cg_ms timeout;
+	bool with_leaving;
 	GArray *daemons; /**< struct ctl_daemon. */
 };
 
-/** Finds the daemons by --peers or the store's list of instances. Returns OK,
- * and the caller calls ctl_fleet_close, or another code after a message. */
-enum ctl_exit ctl_fleet_open(const struct ctl_options *o, struct ctl_fleet *f);
+/**
+ * Finds the daemons by --peers or the store's list of instances. A leaving
+ * instance still serves requests, so notices go to it, too; but it may end at
+ * any time, so it is not waited for. Returns OK, and the caller calls
+ * ctl_fleet_close, or another code after a message.
+ */
+enum ctl_exit ctl_fleet_open(const struct ctl_options *o, bool with_leaving,
+			     struct ctl_fleet *f);
 void ctl_fleet_close(struct ctl_fleet *f);
 
 /**
--- a/src/ctl/fleet.c
+++ b/src/ctl/fleet.c
@@ -67,11 +67,14 @@
 	return rc;
 }
 
-/* A leaving instance may end at any time, so it is not waited for. */
 static void add_entry(struct ctl_fleet *f, struct json_object *o)
 {
-	if (!strcmp(ctl_member_string(o, "role"), "entry") &&
-	    !strcmp(ctl_member_string(o, "state"), "live"))
+	const char *state = ctl_member_string(o, "state");
+
+	if (strcmp(ctl_member_string(o, "role"), "entry") != 0)
+		return;
+	if (!strcmp(state, "live") ||
+	    (f->with_leaving && !strcmp(state, "leaving")))
 		add_daemon(f, ctl_member_string(o, "name"),
 			   ctl_member_string(o, "address"));
 }
@@ -166,11 +169,13 @@
 	return f->peer ? 0 : -1;
 }
 
-enum ctl_exit ctl_fleet_open(const struct ctl_options *o, struct ctl_fleet *f)
+enum ctl_exit ctl_fleet_open(const struct ctl_options *o, bool with_leaving,
+			     struct ctl_fleet *f)
 {
 	enum ctl_exit rc;
 
 	memset(f, 0, sizeof(*f));
+	f->with_leaving = with_leaving;
 	f->timeout = o->timeout_ms;
 	f->daemons = g_array_new(FALSE, TRUE, sizeof(struct ctl_daemon));
 	rc = open_peer(f, o) ? CTL_FAULT : find_daemons(f, o);
--- a/src/ctl/notice_cmds.c
+++ b/src/ctl/notice_cmds.c
@@ -49,7 +49,7 @@
 
 	if (getrandom(x->id, sizeof(x->id), 0) != (ssize_t)sizeof(x->id))
 		return CTL_FAULT;
-	rc = ctl_fleet_open(o, &f);
+	rc = ctl_fleet_open(o, true, &f);
 	if (rc != CTL_OK)
 		return rc;
 	body = g_byte_array_new();
--- a/src/ctl/status_cmds.c
+++ b/src/ctl/status_cmds.c
@@ -112,7 +112,7 @@
 {
 	struct ctl_fleet f;
 	GPtrArray *answers;
-	enum ctl_exit rc = ctl_fleet_open(o, &f);
+	enum ctl_exit rc = ctl_fleet_open(o, false, &f);
 
 	if (rc != CTL_OK)
 		return rc;
@@ -172,7 +172,7 @@
 	const struct ctl_daemon *who;
 	struct json_object *answer;
 	struct ctl_fleet f;
-	enum ctl_exit rc = ctl_fleet_open(o, &f);
+	enum ctl_exit rc = ctl_fleet_open(o, false, &f);
 
 	if (rc != CTL_OK)
 		return rc;
@@ -233,7 +233,7 @@
 
 	if (!check_name(o->arg))
 		return CTL_FAULT;
-	rc = ctl_fleet_open(o, &f);
+	rc = ctl_fleet_open(o, false, &f);
 	if (rc != CTL_OK)
 		return rc;
 	answers = ctl_ask_all(&f, what, o->arg);
@@ -343,7 +343,7 @@
 	struct ctl_fleet f;
 	GPtrArray *answers;
 	int64_t newest;
-	enum ctl_exit rc = ctl_fleet_open(o, &f);
+	enum ctl_exit rc = ctl_fleet_open(o, false, &f);
 
 	if (rc != CTL_OK)
 		return rc;
@@ -402,7 +402,7 @@
 {
 	struct ctl_fleet f;
 	GPtrArray *answers;
-	enum ctl_exit rc = ctl_fleet_open(o, &f);
+	enum ctl_exit rc = ctl_fleet_open(o, false, &f);
 
 	if (rc != CTL_OK)
 		return rc;
@@ -503,7 +503,7 @@
 	gint64 start_us = g_get_monotonic_time();
 	struct json_object *lacking;
 	struct ctl_fleet f;
-	enum ctl_exit rc = ctl_fleet_open(o, &f);
+	enum ctl_exit rc = ctl_fleet_open(o, false, &f);
 
 	if (rc != CTL_OK)
 		return rc;
--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -429,6 +429,9 @@
 	assert_run(0, "show --json" STORE SECRET);
 	assert_shows("entry-1");
 	assert_null(strstr(fx.output, "20319"));
+	/* A leaving daemon still accepts keys until it ends. */
+	assert_run(6, "drain slots-3 --timeout 300" STORE SECRET);
+	assert_shows("not confirmed: gone");
 	http_store_set_instances(fx.store, "{\"instances\":[]}");
 	assert_run(6, "show" STORE SECRET);
 	http_store_set_instances(fx.store, "[[[");
