Choose free ports in the control plane's tests

Cause: two runs of the tests on one machine used the same ports, and the set-up of test_shards and test_gossip failed. Ruled out: port 0; daemons must know each other's ports before they start.

--- a/tests/control_node.h
+++ b/tests/control_node.h
@@ -32,7 +32,7 @@
 
 static inline void node_settings(struct cg_settings *s, const char *name,
 				 const char *domain, uint16_t port,
-				 const char *store_url, const char *secret)
+				 uint16_t store_port)
 {
 	memset(s, 0, sizeof(*s));
 	g_strlcpy(s->instance, name, sizeof(s->instance));
@@ -41,8 +41,8 @@
 	s->peer.sin_family = AF_INET;
 	s->peer.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	s->peer.sin_port = htons(port);
-	s->store_url = g_strdup(store_url);
-	s->fleet_secret = g_bytes_new(secret, strlen(secret));
+	s->store_url = g_strdup_printf("http://127.0.0.1:%u", store_port);
+	s->fleet_secret = g_bytes_new("secret", 6);
 	s->gossip_ms = 500;
 	s->poll_ms = 10000;
 	s->key_isolation_ms = 5000;
--- /dev/null
+++ b/tests/support/ports.h
@@ -0,0 +1,15 @@
+/**
+ * @file ports.h
+ * Loopback ports for tests, so that several test runs on one machine don't
+ * collide.
+ */
+#ifndef CELERYGLADE_TESTS_PORTS_H
+#define CELERYGLADE_TESTS_PORTS_H
+
+#include <stdint.h>
+
+/** Returns the first of @p n consecutive ports from 21000 to 21999 that are
+ * free for TCP and UDP on 127.0.0.1, or 0. */
+uint16_t test_ports(int n);
+
+#endif
--- a/tests/test_docs.c
+++ b/tests/test_docs.c
@@ -10,16 +10,13 @@
 #include "celeryglade/counters.h"
 #include "control_node.h"
 #include "support/fake_store.h"
-
-#define STORE_PORT 21100
-#define STORE_URL  "http://127.0.0.1:21100"
-#define PORT_A	   21101
-#define PORT_B	   21102
+#include "support/ports.h"
 
 struct fixture {
 	struct fake_store *fake;
 	struct control_node a;
 	struct control_node b;
+	uint16_t ports; /* Of the store, a and b. */
 };
 
 static int setup(void **state)
@@ -27,11 +24,12 @@
 	struct fixture *f = g_new0(struct fixture, 1);
 
 	*state = f;
-	f->fake = fake_store_start(STORE_PORT);
+	f->ports = test_ports(3);
+	f->fake = fake_store_start(f->ports);
 	if (!f->fake)
 		return -1;
-	node_settings(&f->a.set, "a", "x", PORT_A, STORE_URL, "secret");
-	node_settings(&f->b.set, "b", "x", PORT_B, STORE_URL, "secret");
+	node_settings(&f->a.set, "a", "x", (uint16_t)(f->ports + 1), f->ports);
+	node_settings(&f->b.set, "b", "x", (uint16_t)(f->ports + 2), f->ports);
 	f->a.incarnation = 1;
 	f->b.incarnation = 2;
 	f->a.set.poll_ms = 300;
@@ -77,6 +75,20 @@
 	g_bytes_unref(root);
 }
 
+/* Sets a list of which a is the only member. */
+static void list_a(struct fixture *f, uint64_t version)
+{
+	char *text = g_strdup_printf(
+		"{\"version\":%d,\"instances\":[{\"name\":\"a\","
+		"\"role\":\"entry\",\"address\":\"127.0.0.1:%d\","
+		"\"failure_domain\":\"x\",\"region\":\"r1\","
+		"\"state\":\"live\",\"started\":1}]}",
+		(int)version, f->ports + 1);
+
+	fake_store_set_list(f->fake, version, text);
+	g_free(text);
+}
+
 static uint64_t root_of(struct control_node *n)
 {
 	return cg_docs_version(n->docs, CG_DOC_ROOT);
@@ -251,12 +263,7 @@
 	struct fixture *f = *state;
 
 	publish(f, 9, "nine\n", false);
-	fake_store_set_list(f->fake, 2,
-			    "{\"version\":2,\"instances\":[{\"name\":\"a\","
-			    "\"role\":\"entry\",\"address\":"
-			    "\"127.0.0.1:21101\",\"failure_domain\":\"x\","
-			    "\"region\":\"r1\",\"state\":\"live\","
-			    "\"started\":1}]}");
+	list_a(f, 2);
 	assert_int_equal(cg_peer_start(f->a.peer), 0);
 	assert_int_equal(cg_docs_start(f->a.docs), 0);
 	assert_true(node_wait(config_of(&f->a) == 9, 3000));
@@ -333,12 +340,7 @@
 	int reads;
 
 	f->a.set.poll_ms = 60000;
-	fake_store_set_list(f->fake, 1,
-			    "{\"version\":1,\"instances\":[{\"name\":\"a\","
-			    "\"role\":\"entry\",\"address\":"
-			    "\"127.0.0.1:21101\",\"failure_domain\":\"x\","
-			    "\"region\":\"r1\",\"state\":\"live\","
-			    "\"started\":1}]}");
+	list_a(f, 1);
 	publish(f, 1, "one\n", false);
 	assert_int_equal(cg_docs_start(f->a.docs), 0);
 	assert_true(node_wait(f->fake->watches >= 4, 5000));
--- a/tests/test_gossip.c
+++ b/tests/test_gossip.c
@@ -8,15 +8,14 @@
 #include "control_node.h"
 #include "gossip_wire.h"
 #include "support/fake_store.h"
+#include "support/ports.h"
 
-#define STORE_PORT 21300
-#define STORE_URL  "http://127.0.0.1:21300"
-#define BASE_PORT  21301
-#define NODES	   6
+#define NODES 6
 
 struct fixture {
 	struct fake_store *fake;
 	struct control_node n[NODES];
+	uint16_t ports; /* Of the nodes; the last one is the store's. */
 };
 
 static void name_of(size_t i, char *out, size_t size)
@@ -37,7 +36,7 @@
 			"\"address\":\"127.0.0.1:%zu\",\"failure_domain\":"
 			"\"d%zu\",\"region\":\"r1\",\"state\":\"live\","
 			"\"started\":1}",
-			i ? "," : "", i, BASE_PORT + i, i % 3);
+			i ? "," : "", i, f->ports + i, i % 3);
 	g_string_append(s, "]}");
 	fake_store_set_list(f->fake, version, s->str);
 	g_string_free(s, TRUE);
@@ -58,7 +57,8 @@
 	struct fixture *f = g_new0(struct fixture, 1);
 
 	*state = f;
-	f->fake = fake_store_start(STORE_PORT);
+	f->ports = test_ports(NODES + 1);
+	f->fake = fake_store_start(f->ports + NODES);
 	if (!f->fake)
 		return -1;
 	for (size_t i = 0; i < NODES; i++) {
@@ -68,8 +68,8 @@
 
 		name_of(i, name, sizeof(name));
 		g_snprintf(domain, sizeof(domain), "d%zu", i % 3);
-		node_settings(&n->set, name, domain, (uint16_t)(BASE_PORT + i),
-			      STORE_URL, "secret");
+		node_settings(&n->set, name, domain, (uint16_t)(f->ports + i),
+			      f->ports + NODES);
 		n->incarnation = 10 + i;
 		n->set.gossip_ms = 100;
 		n->set.key_isolation_ms = 1500;
@@ -136,7 +136,7 @@
 	x->instance = name;
 	x->incarnation = incarnation;
 	x->ip = INADDR_LOOPBACK;
-	x->port = BASE_PORT + 1;
+	x->port = 9; /* Nobody listens there. */
 	x->failure_domain = domain;
 	x->region = domain;
 	x->fresh_age_ms = UINT32_MAX;
@@ -388,8 +388,8 @@
 	start_all(f);
 	assert_true(node_wait(all_hear_majority(f), 10000));
 	node_stop(&f->n[5]);
-	node_settings(&f->n[5].set, "entry-5", "d2", BASE_PORT + 5, STORE_URL,
-		      "secret");
+	node_settings(&f->n[5].set, "entry-5", "d2", (uint16_t)(f->ports + 5),
+		      f->ports + NODES);
 	f->n[5].set.gossip_ms = 100;
 	f->n[5].set.poll_ms = 60000;
 	f->n[5].set.key_isolation_ms = 1500;
--- a/tests/test_shards.c
+++ b/tests/test_shards.c
@@ -8,11 +8,7 @@
 #include "control_node.h"
 #include "internal/shard_map.h"
 #include "support/fake_store.h"
-
-#define STORE_PORT 21200
-#define STORE_URL  "http://127.0.0.1:21200"
-#define PORT_A	   21201
-#define PORT_B	   21202
+#include "support/ports.h"
 
 /* The rules, without I/O. */
 
@@ -252,6 +248,7 @@
 	struct fake_store *fake;
 	struct control_node a;
 	struct control_node b;
+	uint16_t ports; /* Of the store, a and b. */
 	int handed;
 	bool acted; /* The old owner claimed to own what it handed over. */
 };
@@ -261,11 +258,12 @@
 	struct fixture *f = g_new0(struct fixture, 1);
 
 	*state = f;
-	f->fake = fake_store_start(STORE_PORT);
+	f->ports = test_ports(3);
+	f->fake = fake_store_start(f->ports);
 	if (!f->fake)
 		return -1;
-	node_settings(&f->a.set, "a", "x", PORT_A, STORE_URL, "secret");
-	node_settings(&f->b.set, "b", "x", PORT_B, STORE_URL, "secret");
+	node_settings(&f->a.set, "a", "x", (uint16_t)(f->ports + 1), f->ports);
+	node_settings(&f->b.set, "b", "x", (uint16_t)(f->ports + 2), f->ports);
 	f->a.incarnation = 1;
 	f->b.incarnation = 2;
 	f->a.set.gone_confirm_ms = 100;
@@ -285,7 +283,8 @@
 }
 
 /* Gives the node a list of the named instances. */
-static void list(struct control_node *n, uint64_t version, const char *names)
+static void list(struct fixture *f, struct control_node *n, uint64_t version,
+		 const char *names)
 {
 	struct cg_listed items[4] = { 0 };
 	struct cg_instance_list l = { .version = version, .items = items };
@@ -296,7 +295,7 @@
 
 		g_snprintf(i->name, sizeof(i->name), "%c", *p);
 		g_snprintf(addr, sizeof(addr), "127.0.0.1:%d",
-			   PORT_A + *p - 'a');
+			   f->ports + 1 + *p - 'a');
 		cg_parse_address(addr, &i->addr);
 	}
 	cg_members_apply_list(n->members, &l);
@@ -312,8 +311,8 @@
 
 static void meet(struct fixture *f)
 {
-	list(&f->a, 1, "ab");
-	list(&f->b, 1, "ab");
+	list(f, &f->a, 1, "ab");
+	list(f, &f->b, 1, "ab");
 	hear(&f->a, &f->b);
 	hear(&f->b, &f->a);
 }
@@ -352,7 +351,7 @@
 {
 	struct fixture *f = *state;
 
-	list(&f->a, 1, "ab");
+	list(f, &f->a, 1, "ab");
 	cg_shards_step(f->a.shards);
 	assert_int_equal(f->fake->writes, 0);
 	hear(&f->a, &f->b);
@@ -364,7 +363,7 @@
 {
 	struct fixture *f = *state;
 
-	list(&f->a, 1, "a");
+	list(f, &f->a, 1, "a");
 	f->fake->lose_writes = 1;
 	cg_shards_step(f->a.shards);
 	cg_shards_step(f->a.shards);
@@ -379,17 +378,17 @@
 	meet(f);
 	cg_shards_step(f->a.shards);
 	read_map(f, &f->b);
-	list(&f->a, 2, "a");
+	list(f, &f->a, 2, "a");
 	cg_sleep(150);
 	cg_shards_step(f->a.shards);
 	assert_int_equal(cg_shards_owned(f->a.shards), 128);
 	hear(&f->a, &f->b);
 	cg_sleep(5);
-	list(&f->a, 3, "a");
+	list(f, &f->a, 3, "a");
 	cg_shards_step(f->a.shards);
 	assert_int_equal(cg_shards_owned(f->a.shards), 128);
 	cg_sleep(150);
-	list(&f->a, 4, "a");
+	list(f, &f->a, 4, "a");
 	cg_shards_step(f->a.shards);
 	assert_int_equal(cg_shards_owned(f->a.shards), 256);
 	/* The old owner stops as soon as it reads the new map. */
@@ -406,9 +405,9 @@
 	meet(f);
 	cg_shards_step(f->a.shards);
 	f->fake->down = true;
-	list(&f->a, 2, "a");
+	list(f, &f->a, 2, "a");
 	cg_sleep(150);
-	list(&f->a, 3, "a");
+	list(f, &f->a, 3, "a");
 	cg_shards_step(f->a.shards);
 	assert_int_equal(cg_shards_owned(f->a.shards), 128);
 	f->fake->down = false;
@@ -424,10 +423,10 @@
 	struct fixture *f = *state;
 	struct cg_shard_owner o;
 
-	list(&f->a, 1, "a");
+	list(f, &f->a, 1, "a");
 	cg_shards_step(f->a.shards);
 	node_stop(&f->a);
-	node_settings(&f->a.set, "a", "x", PORT_A, STORE_URL, "secret");
+	node_settings(&f->a.set, "a", "x", (uint16_t)(f->ports + 1), f->ports);
 	f->a.incarnation = 3;
 	assert_int_equal(node_init(&f->a), 0);
 	read_map(f, &f->a);
@@ -533,10 +532,10 @@
 {
 	struct fixture *f = *state;
 
-	list(&f->a, 1, "a");
+	list(f, &f->a, 1, "a");
 	cg_shards_step(f->a.shards);
 	assert_int_equal(cg_shards_owned(f->a.shards), 256);
-	list(&f->a, 2, "ab");
+	list(f, &f->a, 2, "ab");
 	hear(&f->a, &f->b);
 	cg_shards_step(f->a.shards);
 	assert_int_equal(cg_shards_owned(f->a.shards), 255);
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -13,22 +13,30 @@
 #include "celeryglade/counters.h"
 #include "internal/store.h"
 #include "support/fake_store.h"
-
-#define PORT 21001
-#define URL  "http://127.0.0.1:21001"
+#include "support/ports.h"
 
 struct fixture {
 	struct fake_store *fake;
 	struct cg_store *store;
+	uint16_t ports; /* The second one has no listener. */
 };
 
+static struct cg_store *client_for(uint16_t port)
+{
+	char url[64];
+
+	g_snprintf(url, sizeof(url), "http://127.0.0.1:%u", port);
+	return cg_store_new(url, 1);
+}
+
 static int setup(void **state)
 {
 	struct fixture *f = g_new0(struct fixture, 1);
 
 	*state = f;
-	f->fake = fake_store_start(PORT);
-	f->store = cg_store_new(URL, 1);
+	f->ports = test_ports(2);
+	f->fake = fake_store_start(f->ports);
+	f->store = client_for(f->ports);
 	return f->fake && f->store ? 0 : -1;
 }
 
@@ -132,11 +140,11 @@
 
 static void refused_connection_is_unavailable(void **state)
 {
-	struct cg_store *s = cg_store_new("http://127.0.0.1:21099", 1);
+	struct fixture *f = *state;
+	struct cg_store *s = client_for(f->ports + 1);
 	GBytes *body;
 	uint64_t v;
 
-	(void)state;
 	assert_int_equal(cg_store_create(s, "a", "x", 1, NULL),
 			 CG_STORE_UNAVAILABLE);
 	assert_int_equal(cg_store_get(s, "a", &body, &v), CG_STORE_UNAVAILABLE);
