--- /dev/null
+++ b/tests/support/rate_check.c
@@ -0,0 +1,123 @@
+#include "rate_fleet.h"
+
+#include <string.h>
+
+/*
+ * Looks at every window: with f(i) = i - rate * t(i), the window from i to j
+ * holds j - i + 1 requests, which exceed burst + rate * (t(j) - t(i)) by
+ * f(j) - f(i) + 1 - burst. The lowest f(i) before j gives the worst window that
+ * ends at j. Units are millionths of a request, which are exact.
+ */
+double rr_windows(const GArray *times, int64_t rate, int64_t burst)
+{
+	int64_t lowest = INT64_MAX, worst = INT64_MIN;
+
+	for (guint i = 0; i < times->len; i++) {
+		int64_t f = (int64_t)i * 1000000 -
+			    rate * g_array_index(times, cg_ms, i);
+		int64_t over;
+
+		if (f < lowest)
+			lowest = f;
+		over = f - lowest + 1000000 - burst * 1000;
+		if (over > worst)
+			worst = over;
+	}
+	return times->len ? (double)worst / 1e6 : -1e9;
+}
+
+struct sums {
+	struct cg_rate_share s;
+	bool uncovered;
+};
+
+static const struct cg_rate_record *
+find_record(const struct cg_rate_ledger_account *a, const struct rr_daemon *d,
+	    uint64_t session)
+{
+	const struct cg_rate_record *r;
+
+	cds_list_for_each_entry(r, &a->records, node)
+		if (!strcmp(r->holder.name, d->name) &&
+		    r->holder.incarnation == d->incarnation &&
+		    r->session == session)
+			return r;
+	return NULL;
+}
+
+static void add_holder(const struct rr_fleet *f, const struct rr_daemon *d,
+		       int account, const struct cg_rate_ledger_account *a,
+		       struct sums *sum)
+{
+	struct rr_entry *e =
+		g_hash_table_lookup(d->entries, GINT_TO_POINTER(account + 1));
+	const struct cg_rate_record *r;
+	struct cg_rate_holding h;
+
+	if (!e)
+		return;
+	h = e->h;
+	cg_rate_holding_lapse(&h, f->now);
+	cg_rate_bucket_refill(&h.bucket, f->now);
+	sum->s.right += h.bucket.have.right;
+	sum->s.cap += h.bucket.have.cap;
+	sum->s.tokens += h.bucket.have.tokens;
+	if (!a || !h.session)
+		return;
+	r = find_record(a, d, h.session);
+	if (!r) {
+		sum->uncovered |= h.bucket.have.right || h.bucket.have.cap;
+		return;
+	}
+	sum->uncovered |= h.bucket.have.right > cg_rate_record_right(r) ||
+			  h.bucket.have.cap > cg_rate_record_cap(r);
+	/* A grant and a release on their way. */
+	if (r->number > h.number)
+		sum->s.tokens += r->granted.tokens - h.granted.tokens;
+	if (h.released.tokens > r->released.tokens)
+		sum->s.tokens += h.released.tokens - r->released.tokens;
+}
+
+static void check_account(struct rr_fleet *f, int account)
+{
+	const struct cg_rate_terms *t = &f->terms[account];
+	const struct cg_rate_ledger_account *active = NULL;
+	struct sums sum = { 0 };
+	int64_t rate = t->rate, burst = t->burst;
+
+	for (int d = 0; d < f->n; d++) {
+		struct cg_rate_ledger *l =
+			f->daemons[d].ledgers[rr_shard(account)];
+		struct cg_rate_ledger_account *a;
+		struct cg_rate_bucket pool;
+
+		if (!f->daemons[d].alive || !l ||
+		    l->state != CG_RATE_LEDGER_ACTIVE)
+			continue;
+		a = cg_rate_ledger_find(l, t->name);
+		if (!a)
+			continue;
+		active = a;
+		pool = a->pool;
+		cg_rate_bucket_refill(&pool, f->now);
+		sum.s.right += pool.have.right;
+		sum.s.cap += pool.have.cap;
+		sum.s.tokens += pool.have.tokens;
+	}
+	for (int d = 0; d < f->n; d++)
+		if (f->daemons[d].alive)
+			add_holder(f, &f->daemons[d], account, active, &sum);
+	if (f->now < f->limits_until[account]) {
+		rate = f->limits[account].rate;
+		burst = f->limits[account].burst;
+	}
+	if (sum.s.right > rate || sum.s.cap > burst || sum.s.tokens > burst ||
+	    sum.uncovered)
+		f->out->violations++;
+}
+
+void rr_check_touched(struct rr_fleet *f)
+{
+	for (guint i = 0; i < f->touched->len; i++)
+		check_account(f, g_array_index(f->touched, int, i));
+}
--- /dev/null
+++ b/tests/support/rate_replay.h
@@ -0,0 +1,79 @@
+/**
+ * @file rate_replay.h
+ * Replays a recorded trace over the decision modules of the rates on a given
+ * clock: daemons, messages with delay, loss and duplication, membership views
+ * and changes of coordinator. The same trace gives the same result each run.
+ * tests/traces/rates/README.md lists the commands of a trace.
+ */
+#ifndef RATE_REPLAY_H
+#define RATE_REPLAY_H
+
+#include <stdio.h>
+
+#include "celeryglade/rate_ledger.h"
+
+/** A mechanism that a run leaves out. */
+enum rr_break {
+	RR_COMPLETE,
+	RR_NO_NUMBERS, /**< A doubled grant is applied again. */
+	RR_NO_SURVEY, /**< A new coordinator starts with full pools. */
+	RR_NO_CONFIRM, /**< A decrease is booked when it is asked for. */
+	RR_NO_PROOF, /**< A silent holder counts as gone. */
+	RR_NO_LEASE, /**< Unlisted holders get holdings without time limit. */
+	RR_NO_REPEAT, /**< A repeated ask gets a further grant. */
+	RR_NO_MAP, /**< Daemons choose the coordinator by their own view. */
+	RR_EQUAL_SPLIT, /**< Each daemon has rate/N and burst/N. */
+	RR_FULL_LOCAL, /**< Each daemon applies the whole rate. */
+	RR_HOLD_SMALL, /**< Small demands get a holding, too. */
+};
+
+struct rr_account_result {
+	char name[CG_NAME_MAX + 1];
+	int64_t rate;
+	uint64_t arrived;
+	uint64_t admitted;
+	uint64_t ideal; /**< Admitted by one bucket that sees all arrivals. */
+	uint64_t wrongful; /**< Ideal minus admitted, if positive. */
+	double over; /**< Most requests above burst + rate * t in a window. */
+};
+
+struct rr_result {
+	uint64_t arrived;
+	uint64_t admitted;
+	uint64_t refused;
+	uint64_t unavailable;
+	uint64_t wrongful;
+	double wrongful_percent; /**< Of all arrivals. */
+	double worst_percent; /**< Wrongful of the worst-served account. */
+	double over; /**< Of the account with the highest. */
+	uint64_t violations; /**< Events after which a sum was exceeded. */
+	uint64_t messages;
+	uint64_t bytes; /**< As the transport counts them. */
+	uint64_t most_bytes; /**< Of the daemon that sent most. */
+	uint64_t hash; /**< Of all decisions in order. */
+	struct rr_account_result *accounts;
+	size_t account_count;
+};
+
+struct rr_trace;
+
+/** Reads a trace; returns NULL after printing what is wrong. */
+struct rr_trace *rr_read(FILE *in, const char *name);
+void rr_trace_free(struct rr_trace *t);
+
+/** Runs the trace. With @p check the sums are compared after every event. */
+void rr_run(const struct rr_trace *t, enum rr_break brk, bool check,
+	    struct rr_result *out);
+void rr_result_clear(struct rr_result *r);
+
+/** The mechanism that the trace names with "break". */
+enum rr_break rr_trace_break(const struct rr_trace *t);
+cg_ms rr_trace_end(const struct rr_trace *t);
+int rr_trace_daemons(const struct rr_trace *t);
+
+/** Compares the result with the trace's "expect" lines for @p which, "with" or
+ * "without". Returns how many fail, after printing them. */
+int rr_expect(const struct rr_trace *t, const char *which,
+	      const struct rr_result *r);
+
+#endif
--- /dev/null
+++ b/tests/support/rate_trace.h
@@ -0,0 +1,55 @@
+/* The parsed form of a rate trace; see rate_replay.h. */
+#ifndef RATE_TRACE_H
+#define RATE_TRACE_H
+
+#include "rate_replay.h"
+
+#define RR_MAX_DAEMONS 512
+#define RR_SHARDS      16
+
+struct rr_traffic {
+	cg_ms from;
+	cg_ms to;
+	int account;
+	int last_account; /**< Chosen evenly up to this one. */
+	double per_second;
+	int first;
+	int last;
+	double zipf; /**< Exponent of the weights of the daemons; 0: even. */
+	cg_ms move_ms; /**< The most loaded daemon changes; 0: never. */
+};
+
+struct rr_event {
+	cg_ms at;
+	char verb[24];
+	int64_t a;
+	int64_t b;
+	int64_t c;
+};
+
+struct rr_expectation {
+	char which[8];
+	char field[24];
+	char op[3];
+	double value;
+};
+
+struct rr_trace {
+	char name[128];
+	int daemons;
+	uint64_t seed;
+	cg_ms delay_min;
+	cg_ms delay_max;
+	int loss; /**< Per thousand. */
+	int dup; /**< Per thousand. */
+	cg_ms unlisted_lease;
+	cg_ms wait;
+	cg_ms end;
+	enum rr_break brk;
+	GArray *accounts; /**< struct cg_rate_terms; names are owned. */
+	GArray *traffic;
+	GArray *events;
+	GArray *expectations;
+};
+
+#endif
