--- a/include/celeryglade/rate_holder.h
+++ b/include/celeryglade/rate_holder.h
@@ -81,7 +81,9 @@
 	cg_ms arrived_at;
 
 	cg_ms asked_at; /**< Last ask sent. */
+	cg_ms reported_at; /**< Last ask sent while no request waited. */
 	cg_ms answered_at;
+	cg_ms keepalive_ms; /**< Longest time between two reports. */
 	int64_t told_demand;
 	uint32_t unanswered; /**< Asks sent since the last answer. */
 	bool to_report; /**< A release was not reported yet. */
--- a/include/celeryglade/rate_policy.h
+++ b/include/celeryglade/rate_policy.h
@@ -21,6 +21,16 @@
  */
 #define CG_RATE_HOLDING_DEMAND 1000
 
+/**
+ * Most right that a holder gets, as a multiple of its demand. What is spare
+ * beyond that stays in the pool, which serves new holders at once; a holder
+ * has to be asked before it returns anything.
+ */
+#define CG_RATE_SPARE_FACTOR 2
+
+/** Capacity below which a bucket gets less than its demand as right. */
+#define CG_RATE_SMALL_CAP (8 * CG_RATE_ONE)
+
 /** Demands of an account's holders, as sums a target is computed from. */
 struct cg_rate_demands {
 	int64_t rate;
@@ -47,7 +57,8 @@
 /** Whether @p have is so far below @p want that a grant is worth it. */
 bool cg_rate_policy_raise(int64_t have, int64_t want);
 
-/** Whether @p have is so far above @p want that a release is worth it. */
-bool cg_rate_policy_lower(int64_t have, int64_t want);
+/** Whether @p have is so far above @p want that a release is worth it.
+ * @p wanted tells that other holders lack it. */
+bool cg_rate_policy_lower(int64_t have, int64_t want, bool wanted);
 
 #endif
--- a/src/control/rate_holder.c
+++ b/src/control/rate_holder.c
@@ -6,15 +6,18 @@
 
 /* Arrivals are smoothed over about 2 s: long enough for Poisson noise at a few
  * requests per second, short against the 5 s after which holdings are moved. */
-#define INTERVAL_MS 500
-#define SMOOTHING   4
+#define INTERVAL_MS   500
+#define SMOOTHING     4
+#define JUMP_ARRIVALS 16
 /* An account without arrivals for this time returns its holding. */
-#define IDLE_MS	     5000
-#define KEEPALIVE_MS 5000
-#define REPORT_MS    1000
-#define RETRY_MS     1000
-#define RETRY_MAX_MS 8000
-#define FORGET_MS    30000
+#define IDLE_MS 5000
+/* Reports follow quickly on a change and rarely while nothing changes. */
+#define KEEPALIVE_MIN_MS 1000
+#define KEEPALIVE_MAX_MS 8000
+#define REPORT_MS	 500
+#define RETRY_MS	 1000
+#define RETRY_MAX_MS	 8000
+#define FORGET_MS	 30000
 
 void cg_rate_holding_init(struct cg_rate_holding *h, cg_ms now,
 			  uint64_t past_session, int64_t rate, int64_t burst)
@@ -25,12 +28,22 @@
 	h->rate = rate;
 	h->burst = burst;
 	h->lease_until = CG_MS_NEVER;
+	h->keepalive_ms = KEEPALIVE_MIN_MS;
 	h->interval_at = now;
 	h->arrived_at = now;
 	h->asked_at = -CG_MS_NEVER;
+	h->reported_at = now;
 	h->answered_at = -CG_MS_NEVER;
 }
 
+/* Whether two numbers of arrivals in an interval differ by more than chance
+ * explains; then smoothing would only delay the change. */
+static bool differ(int64_t a, int64_t b)
+{
+	return a > b ? a >= JUMP_ARRIVALS && a > 2 * b
+		     : b >= JUMP_ARRIVALS && b > 2 * a;
+}
+
 static void count_interval(struct cg_rate_holding *h, cg_ms now)
 {
 	cg_ms passed = (now - h->interval_at) / INTERVAL_MS;
@@ -38,9 +51,14 @@
 	if (passed <= 0)
 		return;
 	for (cg_ms i = 0; i < passed && i < 64; i++) {
-		int64_t seen = i ? 0 : h->arrivals * 1000 * 1000 / INTERVAL_MS;
+		int64_t seen = i ? 0 : h->arrivals;
+		int64_t usual = h->demand * INTERVAL_MS / 1000 / 1000;
+		int64_t per_second = seen * 1000 * 1000 / INTERVAL_MS;
 
-		h->demand += (seen - h->demand) / SMOOTHING;
+		if (differ(seen, usual))
+			h->demand = per_second;
+		else
+			h->demand += (per_second - h->demand) / SMOOTHING;
 	}
 	if (passed >= 64)
 		h->demand = 0;
@@ -48,6 +66,18 @@
 	h->interval_at += passed * INTERVAL_MS;
 }
 
+/* Arrivals of the running interval count once they exceed what the smoothed
+ * demand explains, so that a new load is seen at once. */
+static int64_t current_demand(const struct cg_rate_holding *h)
+{
+	int64_t usual = h->demand * INTERVAL_MS / 1000 / 1000;
+	int64_t partial = h->arrivals * 1000 * 1000 / INTERVAL_MS;
+
+	if (h->arrivals < usual || !differ(h->arrivals, usual))
+		partial /= SMOOTHING;
+	return h->demand > partial ? h->demand : partial;
+}
+
 static void end_session(struct cg_rate_holding *h, cg_ms now)
 {
 	if (h->session > h->past_session)
@@ -162,40 +192,52 @@
 	if (h->unanswered)
 		return since >= retry_after(h);
 	if (h->closing)
-		return since >= REPORT_MS || h->to_report;
+		return since >= RETRY_MS || h->to_report;
 	if (h->lease_until != CG_MS_NEVER)
 		return h->bucket.have.right > 0 &&
 		       now - h->arrived_at < IDLE_MS &&
 		       h->lease_until - now < h->lease_ms * 2 / 3;
-	if (since < REPORT_MS)
+	if (h->to_report || now - h->reported_at >= h->keepalive_ms)
+		return true;
+	if (now - h->reported_at < REPORT_MS)
 		return false;
 	change = h->demand - h->told_demand;
 	if (change < 0)
 		change = -change;
-	return h->to_report || since >= KEEPALIVE_MS ||
-	       change > h->told_demand / 4 + CG_RATE_HOLDING_DEMAND;
+	return change > h->told_demand / 4 + 4 * CG_RATE_HOLDING_DEMAND;
+}
+
+/* Releases what the coordinator would ask back in its answer. */
+static void release_excess(struct cg_rate_holding *h, cg_ms now)
+{
+	int64_t most = CG_RATE_SPARE_FACTOR * current_demand(h);
+	const struct cg_rate_share *have = &h->bucket.have;
+
+	if (h->closing || !h->session ||
+	    !cg_rate_policy_lower(have->right, most, false))
+		return;
+	release_to(h, now, most, cg_rate_part(have->cap, most, have->right));
 }
 
 void cg_rate_holding_ask(struct cg_rate_holding *h, cg_ms now, int64_t need,
 			 struct cg_rate_ask *out)
 {
-	int64_t partial;
-
 	count_interval(h, now);
 	cg_rate_holding_lapse(h, now);
-	/* Arrivals of the running interval count once they exceed what the
-	 * smoothed demand explains, so that a new load is seen at once. */
-	partial = h->arrivals * 1000 / SMOOTHING;
+	if (!need)
+		release_excess(h, now);
 	*out = (struct cg_rate_ask){
 		.session = h->session,
 		.past_session = h->past_session,
 		.number = h->number,
 		.released = h->released,
-		.demand = h->demand > partial ? h->demand : partial,
+		.demand = current_demand(h),
 		.need = need,
 		.final = h->closing && !need,
 	};
 	h->asked_at = now;
+	if (!need)
+		h->reported_at = now;
 	h->told_demand = out->demand;
 	h->to_report = false;
 	h->unanswered++;
@@ -207,7 +249,7 @@
 	if (a->session <= h->past_session)
 		return -1;
 	/* A new session never replaces one that holds something. */
-	if (h->session && !h->closing)
+	if (h->bucket.have.right || h->bucket.have.cap)
 		return -1;
 	if (a->lease_ms && sent + a->lease_ms <= now)
 		return -1;
@@ -271,6 +313,10 @@
 		return 0;
 	if (a->session != h->session && begin_session(h, now, sent, a))
 		return -1;
+	if (a->granted.right > h->granted.right || a->keep_right >= 0)
+		h->keepalive_ms = KEEPALIVE_MIN_MS;
+	else if (latest && h->keepalive_ms < KEEPALIVE_MAX_MS)
+		h->keepalive_ms *= 2;
 	apply_grant(h, now, a);
 	apply_lease(h, sent, a);
 	if (latest)
--- a/src/control/rate_ledger.c
+++ b/src/control/rate_ledger.c
@@ -272,7 +272,21 @@
 	g->add.tokens = cg_rate_part(p->tokens, g->add.cap, p->cap);
 }
 
-/* Adds the tokens that waiting requests lack, with the capacity for them. */
+static int64_t lower(int64_t a, int64_t b)
+{
+	return a < b ? a : b;
+}
+
+/* Capacity that lies with holders overflows while others lack tokens, so less
+ * is lent when the pool has little. */
+static bool has_spare_cap(const struct cg_rate_ledger_account *a)
+{
+	return a->pool.have.cap >= a->burst / 2;
+}
+
+/* Adds the tokens that waiting requests lack, with the capacity for them. A
+ * holder with a lasting demand gets those for about a second, so that the next
+ * requests need no message. */
 static void grant_need(struct cg_rate_ledger_account *a,
 		       const struct cg_rate_record *r, int64_t need,
 		       struct grant *g)
@@ -283,20 +297,19 @@
 	int64_t give = need;
 	int64_t room;
 
-	room = (need + CG_RATE_ONE - 1) / CG_RATE_ONE * CG_RATE_ONE - cap;
+	if (r->demand >= CG_RATE_HOLDING_DEMAND) {
+		int64_t most = cap + (has_spare_cap(a) ? p->cap / 8 : 0);
+		int64_t more = lower(r->demand, lower(p->tokens / 8, most));
+
+		give = more > give ? more : give;
+	}
+	room = (give + CG_RATE_ONE - 1) / CG_RATE_ONE * CG_RATE_ONE - cap;
 	if (room > p->cap - g->add.cap)
 		room = (p->cap - g->add.cap) / CG_RATE_ONE * CG_RATE_ONE;
 	if (room > 0)
 		g->add.cap += room;
-	cap = cg_rate_record_cap(r) + g->add.cap;
-	/* A holding that ran empty gets some more, so that the next requests
-	 * need no message. */
-	if (cg_rate_record_right(r) > 0 && give < p->tokens / 4)
-		give = p->tokens / 4;
-	if (give > cap)
-		give = cap;
-	if (give > p->tokens)
-		give = p->tokens;
+	give = lower(give, cg_rate_record_cap(r) + g->add.cap);
+	give = lower(give, p->tokens);
 	if (give < first) {
 		g->denied = true;
 		return;
@@ -323,15 +336,18 @@
 	fit_pool(a, now);
 }
 
-static void set_lease(struct cg_rate_ledger *l, struct cg_rate_record *r,
-		      bool listed, bool confirmed, cg_ms now)
+static void set_lease(struct cg_rate_ledger *l,
+		      const struct cg_rate_ledger_account *a,
+		      struct cg_rate_record *r, bool listed, bool confirmed,
+		      cg_ms now)
 {
 	bool right = cg_rate_record_right(r) > 0;
 	cg_ms until;
 
 	if (r->lease_until == CG_MS_NEVER)
 		return;
-	if (!right && r->demand < CG_RATE_HOLDING_DEMAND)
+	if (!right && cg_rate_record_cap(r) > 0 &&
+	    (r->demand < CG_RATE_HOLDING_DEMAND || !has_spare_cap(a)))
 		r->lease_ms = CG_RATE_SPOT_LEASE_MS;
 	else if (!right || (listed && !confirmed))
 		r->lease_ms = CG_RATE_FIRST_LEASE_MS;
@@ -346,33 +362,46 @@
 		r->lease_until = until;
 }
 
-static void advise(const struct cg_rate_record *r, const struct grant *g,
+/* Whether the pool has little more than its reserve. */
+static bool is_short(int64_t pool, int64_t all)
+{
+	return pool < all / CG_RATE_RESERVE_PART + all / 32;
+}
+
+static void advise(const struct cg_rate_ledger_account *a,
+		   const struct cg_rate_record *r, const struct grant *g,
 		   struct cg_rate_answer *out)
 {
+	bool right_short = is_short(a->pool.have.right, a->rate);
+	bool cap_short = is_short(a->pool.have.cap, a->burst);
 	int64_t right = cg_rate_record_right(r);
 	int64_t cap = cg_rate_record_cap(r);
 
 	if (right <= 0 || r->lease_ms)
 		return;
-	if (!cg_rate_policy_lower(right, g->target.right) &&
-	    !cg_rate_policy_lower(cap, g->target.cap))
+	if (!cg_rate_policy_lower(right, g->target.right, right_short) &&
+	    !cg_rate_policy_lower(cap, g->target.cap, cap_short))
 		return;
 	out->keep_right = g->target.right < right ? g->target.right : right;
 	out->keep_cap = g->target.cap < cap ? g->target.cap : cap;
 }
 
+/* When to ask again after the pool had too little: soon if the pool refills or
+ * the holder should get more than it has, later if the account's demand is
+ * above its rate and the holder has its part. */
 static cg_ms retry_after(const struct cg_rate_ledger_account *a,
-			 const struct grant *g)
+			 const struct cg_rate_record *r, const struct grant *g)
 {
 	const struct cg_rate_share *p = &a->pool.have;
+	int64_t right = cg_rate_record_right(r);
 	int64_t ms;
 
 	if (g->demand_sum > a->rate || p->right <= 0)
-		return RETRY_MAX_MS;
+		return cg_rate_policy_raise(right, g->target.right)
+			       ? RETRY_MAX_MS / 8
+			       : RETRY_MAX_MS;
 	ms = (CG_RATE_ONE - p->tokens % CG_RATE_ONE) * 1000 / p->right;
-	return ms < RETRY_MIN_MS   ? RETRY_MIN_MS
-	       : ms > RETRY_MAX_MS ? RETRY_MAX_MS
-				   : ms;
+	return ms < RETRY_MIN_MS ? RETRY_MIN_MS : lower(ms, RETRY_MAX_MS);
 }
 
 static void fill_answer(const struct cg_rate_record *r,
@@ -398,13 +427,13 @@
 	if (ask->need > 0)
 		grant_need(a, r, ask->need, &g);
 	apply_grant(a, r, &g, now);
-	set_lease(l, r, listed, confirmed, now);
+	set_lease(l, a, r, listed, confirmed, now);
 	fill_answer(r, out);
 	if (g.denied) {
 		a->denied++;
-		out->retry_ms = retry_after(a, &g);
+		out->retry_ms = retry_after(a, r, &g);
 	} else if (ask->need <= 0) {
-		advise(r, &g, out);
+		advise(a, r, &g, out);
 	}
 }
 
@@ -415,7 +444,7 @@
 		       const struct cg_rate_ask *ask, cg_ms now,
 		       struct cg_rate_answer *out)
 {
-	bool fresh = !r;
+	bool fresh;
 
 	if (ask->final &&
 	    (!r || (ask->number == r->number && !cg_rate_record_right(r) &&
@@ -425,6 +454,14 @@
 		out->status = CG_RATE_STATUS_CLOSED;
 		return;
 	}
+	/* A holder that has nothing starts again with a lease, so that tokens
+	 * for single requests need no message to come back. */
+	if (r && ask->session && ask->number == r->number &&
+	    !cg_rate_record_right(r) && !cg_rate_record_cap(r)) {
+		drop_record(a, r, now);
+		r = NULL;
+	}
+	fresh = !r;
 	if (fresh)
 		r = add_record(a, who,
 			       cg_rate_session_base(l->epoch) + ++l->sessions,
@@ -433,7 +470,7 @@
 	r->heard_at = now;
 	if (!fresh && ask->number < r->number) {
 		/* The last answer was lost: the same grant again. */
-		set_lease(l, r, listed, false, now);
+		set_lease(l, a, r, listed, false, now);
 		fill_answer(r, out);
 	} else {
 		answer_new_state(l, a, r, listed, !fresh, ask, now, out);
@@ -441,7 +478,9 @@
 	/* Without a grant there is nothing to count, except a demand for
 	 * which the other holders have to make room. */
 	if (!r->number && r->demand < CG_RATE_HOLDING_DEMAND && fresh) {
-		out->session = 0;
+		out->session = ask->session;
+		if (ask->session)
+			out->status = CG_RATE_STATUS_CLOSED;
 		drop_record(a, r, now);
 	}
 }
--- a/src/control/rate_policy.c
+++ b/src/control/rate_policy.c
@@ -1,5 +1,7 @@
 #include "celeryglade/rate_policy.h"
 
+#include <math.h>
+
 int64_t cg_rate_policy_level(const int64_t *demand, size_t n, int64_t available)
 {
 	int64_t level = 0;
@@ -30,6 +32,45 @@
 	}
 }
 
+/* How far the arrivals of one second usually lie from their mean: the square
+ * root of the number, as for independent arrivals. */
+static int64_t spread(int64_t demand)
+{
+	return demand > 0 ? (int64_t)sqrt((double)demand * CG_RATE_ONE) : 0;
+}
+
+static int64_t find_right(const struct cg_rate_demands *d, int64_t mine,
+			  int64_t rights)
+{
+	int64_t sum = 0, noise = 0, most, right;
+
+	for (size_t i = 0; i < d->n; i++) {
+		sum += d->of[i];
+		noise += spread(d->of[i]);
+	}
+	if (sum > rights) {
+		int64_t level = cg_rate_policy_level(d->of, d->n, rights);
+
+		return mine < level ? mine : level;
+	}
+	/* The pool keeps what holders need beyond their mean; a right that
+	 * one of many small buckets does not use is lost. */
+	right = cg_rate_part(rights - noise, mine, sum);
+	most = CG_RATE_SPARE_FACTOR * mine;
+	return right < most ? right : most;
+}
+
+/* Capacity in proportion to the right, but no more than bridges the time to
+ * the next message; the rest serves best in the pool. */
+static int64_t find_cap(int64_t mine, int64_t right, int64_t rights,
+			int64_t caps)
+{
+	int64_t part = cg_rate_part(caps, right, rights);
+	int64_t most = right / 8 + 2 * spread(mine);
+
+	return part < most ? part : most;
+}
+
 void cg_rate_policy_target(const struct cg_rate_demands *d, int64_t mine,
 			   bool holding, struct cg_rate_share *out)
 {
@@ -39,21 +80,15 @@
 		d->rate - d->rate / CG_RATE_RESERVE_PART - d->fixed_right;
 	int64_t caps =
 		d->burst - d->burst / CG_RATE_RESERVE_PART - d->fixed_cap;
-	int64_t sum = 0;
 
 	*out = (struct cg_rate_share){ 0 };
 	if (mine < threshold || rights <= 0 || caps < CG_RATE_ONE)
 		return;
-	for (size_t i = 0; i < d->n; i++)
-		sum += d->of[i];
-	if (sum <= rights) {
-		out->right = cg_rate_part(rights, mine, sum);
-	} else {
-		int64_t level = cg_rate_policy_level(d->of, d->n, rights);
-
-		out->right = mine < level ? mine : level;
-	}
-	out->cap = cg_rate_part(caps, out->right, rights);
+	out->right = find_right(d, mine, rights);
+	out->cap = find_cap(mine, out->right, rights, caps);
+	/* A small bucket overflows often, unless less flows in than out. */
+	if (out->cap < CG_RATE_SMALL_CAP && out->right > mine - spread(mine))
+		out->right = mine - spread(mine);
 	/* A bucket that cannot keep one whole request never admits any. */
 	if (out->cap < CG_RATE_ONE || out->right <= 0)
 		*out = (struct cg_rate_share){ 0 };
@@ -64,7 +99,7 @@
 	return want - have > have / 8;
 }
 
-bool cg_rate_policy_lower(int64_t have, int64_t want)
+bool cg_rate_policy_lower(int64_t have, int64_t want, bool wanted)
 {
-	return have - want > have / 4;
+	return have - want > have / (wanted ? 32 : 4);
 }
