--- /dev/null
+++ b/bench/bench_ejection.c
@@ -0,0 +1,200 @@
+/* Detection time and false ejections of the fleet's decision beside the
+ * baseline "five failures in a row, each daemon alone", on the same requests in
+ * the same run. */
+#include <glib.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../tests/support/health_sim.h"
+
+#define TRIAL_MS 300000
+#define WARM_MS	 60000
+
+struct fault {
+	const char *name;
+	double fail;
+	double slow;
+};
+
+static const struct fault faults[] = {
+	{ "fail 30%", 0.3, 1 },
+	{ "fail 60%", 0.6, 1 },
+	{ "fail 100%", 1.0, 1 },
+	{ "5x slower", 0, 5 },
+};
+
+static const size_t sizes[] = { 5, 10, 15 };
+static const size_t fleets[] = { 48, 470 };
+
+static void set_up(struct sim *s, size_t servers, size_t daemons, uint64_t seed)
+{
+	memset(s, 0, sizeof(*s));
+	s->seed = seed;
+	s->servers = servers;
+	s->daemons = daemons;
+	s->domains = daemons > 48 ? 7 : 3;
+	s->slots = servers == 15 || servers == 10 ? 3 : 6;
+	s->floor_percent = 50;
+	s->rate = s->slots == 3 ? 7.5 : 15; /* Half of the slots, 200 ms. */
+	s->fail = 0.005;
+	s->latency_ms = 180;
+	s->sigma = 0.4;
+	/* Three services as today, and 140 as at the target. */
+	s->digest_ms = daemons > 48 ? 10000 : 1000;
+	s->open_loop = true;
+	sim_start(s);
+}
+
+static int compare(const void *a, const void *b)
+{
+	double x = *(const double *)a, y = *(const double *)b;
+
+	return (x > y) - (x < y);
+}
+
+static double quantile(double *v, size_t n, double q)
+{
+	qsort(v, n, sizeof(*v), compare);
+	return v[(size_t)(q * (double)(n - 1))];
+}
+
+/* Median over the daemons of the time until each gave the server no load. */
+static double median_found(struct sim *s, bool base, cg_ms onset)
+{
+	double *v = g_new(double, s->daemons);
+	double m;
+
+	for (size_t d = 0; d < s->daemons; d++) {
+		cg_ms at = base ? s->daemon[d].base_found_at[0]
+				: s->daemon[d].found_at[0];
+
+		v[d] = at == CG_MS_NEVER ? INFINITY
+					 : (double)(at - onset) / 1000;
+	}
+	m = quantile(v, s->daemons, 0.5);
+	g_free(v);
+	return m;
+}
+
+static void print_time(double v)
+{
+	if (isinf(v))
+		printf(" %8s", ">300");
+	else
+		printf(" %8.1f", v);
+}
+
+static void detection(size_t servers, size_t daemons, const struct fault *f,
+		      size_t trials)
+{
+	double *own = g_new(double, trials), *base = g_new(double, trials);
+
+	for (size_t t = 0; t < trials; t++) {
+		struct sim s;
+		cg_ms onset;
+
+		set_up(&s, servers, daemons, 1000 + t);
+		while (s.now < 1000000 + WARM_MS + (cg_ms)(t % 10) * 100)
+			sim_step(&s);
+		onset = s.now;
+		s.server[0].sick_at = onset;
+		s.server[0].fail = f->fail;
+		s.server[0].slow = f->slow;
+		while (s.now < onset + TRIAL_MS) {
+			sim_step(&s);
+			if (!isinf(median_found(&s, false, onset)) &&
+			    !isinf(median_found(&s, true, onset)))
+				break;
+		}
+		own[t] = median_found(&s, false, onset);
+		base[t] = median_found(&s, true, onset);
+		sim_free(&s);
+	}
+	printf("%7zu %7zu  %-10s", servers, daemons, f->name);
+	print_time(quantile(own, trials, 0.5));
+	print_time(quantile(own, trials, 0.95));
+	print_time(quantile(base, trials, 0.5));
+	print_time(quantile(base, trials, 0.95));
+	printf("\n");
+	fflush(stdout);
+	g_free(own);
+	g_free(base);
+}
+
+/* A day's disturbances in which no server is to be ejected: the whole service
+ * fails or slows for 10 to 30 s every 10 minutes on average, a server's
+ * requests all fail for 1 s, or it sheds half of its load, or it restarts cold,
+ * or it drains. */
+static void disturb(struct sim *s)
+{
+	double p = 0.1 / 600;
+	size_t i = (size_t)(sim_random(s) * (double)s->servers);
+	struct sim_server *v = &s->server[i];
+
+	if (sim_random(s) < p) {
+		s->all_until = s->now + 10000 + (cg_ms)(sim_random(s) * 20000);
+		s->all_fail = sim_random(s) < 0.5 ? 0 : sim_random(s);
+		s->all_slow = s->all_fail > 0 ? 1 : 2 + 8 * sim_random(s);
+	}
+	if (sim_random(s) < p)
+		v->blip_until = s->now + 1000;
+	if (sim_random(s) < p)
+		v->shed = v->shed > 0 ? 0 : 0.5;
+	if (sim_random(s) < p)
+		v->cold_until = s->now + 20000;
+	if (sim_random(s) < p) {
+		v->draining_until = s->now + 60000;
+		v->cold_until = v->draining_until + 20000;
+	}
+}
+
+static void false_ejections(size_t servers, size_t daemons, double hours,
+			    double rate)
+{
+	struct sim s;
+	cg_ms end;
+	double server_days = hours / 24 * (double)servers;
+
+	set_up(&s, servers, daemons, 7);
+	if (rate > 0)
+		s.rate = rate;
+	end = s.now + (cg_ms)(hours * 3600000);
+	while (s.now < end) {
+		disturb(&s);
+		sim_step(&s);
+	}
+	printf("%7zu %7zu %7.2f %6.1f %10.4f %10llu %10llu %10llu %9.2f\n",
+	       servers, daemons, s.rate, hours,
+	       (double)s.fleet_false / server_days,
+	       (unsigned long long)s.fleet_false_pairs,
+	       (unsigned long long)s.local_false,
+	       (unsigned long long)s.base_false,
+	       (double)s.digest_bytes / (hours * 3600) / (double)daemons);
+	fflush(stdout);
+	sim_free(&s);
+}
+
+int main(int argc, char **argv)
+{
+	size_t trials = argc > 1 ? strtoul(argv[1], NULL, 10) : 40;
+	double hours = argc > 2 ? strtod(argv[2], NULL) : 4;
+
+	printf("detection time in s, median over daemons; own p50 p95, baseline p50 p95\n");
+	printf("servers daemons  fault      own p50  own p95 base p50 base p95\n");
+	for (size_t f = 0; f < G_N_ELEMENTS(fleets); f++)
+		for (size_t n = 0; n < G_N_ELEMENTS(sizes); n++)
+			for (size_t i = 0; i < G_N_ELEMENTS(faults); i++)
+				detection(sizes[n], fleets[f], &faults[i],
+					  fleets[f] > 48 ? (trials + 3) / 4
+							 : trials);
+	printf("false ejections; pairs count each daemon that left a server out\n");
+	printf("servers daemons  rate/s  hours  fleet/s/d fleetpairs localpairs  basepairs bytes/s/d\n");
+	for (size_t n = 0; n < G_N_ELEMENTS(sizes); n++)
+		false_ejections(sizes[n], 48, hours, 0);
+	false_ejections(5, 48, hours * 4, 0.2);
+	for (size_t n = 0; n < G_N_ELEMENTS(sizes); n++)
+		false_ejections(sizes[n], 470, hours / 4, 0);
+	return 0;
+}
--- /dev/null
+++ b/src/control/ejection.c
@@ -0,0 +1,553 @@
+#include "ejection_internal.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* A daemon without observations for this time does not count as one that
+ * could support an ejection. */
+#define ACTIVE_MS 60000
+/* Records of daemons that sent nothing for so long are dropped. */
+#define REPORTER_KEPT_MS 600000
+/* The first trial share aims at the responses of one step within a minute. */
+#define FIRST_STEP_MS 60000
+
+static const uint32_t trial_share[CG_TRIAL_STEPS] = { 10, 100, 500 };
+
+const char *cg_server_phase_name(enum cg_server_phase p)
+{
+	switch (p) {
+	case CG_PHASE_IN:
+		return "in";
+	case CG_PHASE_EJECTED:
+		return "ejected";
+	case CG_PHASE_TRIAL:
+		return "trial";
+	}
+	abort();
+}
+
+const char *cg_denial_name(enum cg_denial d)
+{
+	switch (d) {
+	case CG_DENIED_NOTHING:
+		return "none";
+	case CG_DENIED_EVIDENCE:
+		return "evidence";
+	case CG_DENIED_FLOOR:
+		return "floor";
+	case CG_DENIED_SURVEY:
+		return "survey";
+	}
+	abort();
+}
+
+void cg_ejection_rules_fleet(struct cg_ejection_rules *r, cg_ms verdict_ttl_ms,
+			     cg_ms eject_ms)
+{
+	*r = (struct cg_ejection_rules){
+		.threshold = 18,
+		.trial_threshold = 7.5,
+		.min_daemons = 3,
+		.min_domains = 2,
+		.verdict_ttl_ms = verdict_ttl_ms,
+		.eject_ms = eject_ms,
+		.eject_max_ms = 300000,
+		.step_answers = 20,
+		.first_share_max = 100,
+	};
+}
+
+void cg_ejection_rules_local(struct cg_ejection_rules *r, cg_ms eject_ms)
+{
+	cg_ejection_rules_fleet(r, 0, eject_ms);
+	r->threshold = 14;
+	r->trial_threshold = 5;
+	r->min_daemons = 1;
+	r->min_domains = 1;
+	/* One daemon alone sees few responses of a trial. */
+	r->step_answers = 4;
+	r->first_share_max = 500;
+	r->local = true;
+}
+
+uint32_t cg_server_id(const char *name)
+{
+	return XXH32(name, strlen(name), 0);
+}
+
+struct cg_ejection *cg_ejection_new(const struct cg_ejection_rules *r,
+				    uint64_t epoch, bool surveying, cg_ms now)
+{
+	struct cg_ejection *e = g_new0(struct cg_ejection, 1);
+
+	e->rules = *r;
+	e->epoch = epoch;
+	e->version = 1;
+	e->surveying = surveying;
+	e->created = now;
+	e->ticked = now;
+	e->reporters = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	e->learnt = g_array_new(FALSE, FALSE, sizeof(struct cg_verdict));
+	return e;
+}
+
+void cg_ejection_free(struct cg_ejection *e)
+{
+	if (!e)
+		return;
+	g_hash_table_unref(e->reporters);
+	g_array_unref(e->learnt);
+	g_free(e->list);
+	g_free(e);
+}
+
+struct entry *cg_ejection_find(const struct cg_ejection *e, uint32_t id)
+{
+	for (size_t i = 0; i < e->n; i++)
+		if (e->list[i].id == id)
+			return &e->list[i];
+	return NULL;
+}
+
+static void adopt(struct cg_ejection *e, struct entry *s,
+		  const struct cg_verdict *v, cg_ms now)
+{
+	/* Members may hold different verdicts of the last coordinator; the
+	 * most severe one counts. */
+	if (s->phase == CG_PHASE_EJECTED && s->until - now >= v->left_ms)
+		return;
+	if (s->phase == CG_PHASE_TRIAL && v->phase == CG_PHASE_TRIAL &&
+	    s->share <= v->share)
+		return;
+	s->phase = CG_PHASE_EJECTED;
+	s->share = 0;
+	s->since = now;
+	s->until = now + MAX(v->left_ms, 0);
+	s->level = MAX(s->level, v->level);
+	cg_ejection_forget(s);
+	e->version++;
+}
+
+static bool counted_before(struct reporter *r, uint64_t sequence)
+{
+	if (sequence > r->sequence) {
+		uint64_t ahead = sequence - r->sequence;
+
+		r->window = ahead < 64 ? r->window << ahead : 0;
+		r->window |= 1;
+		r->sequence = sequence;
+		return false;
+	}
+	if (r->sequence - sequence >= 64)
+		return true;
+	if (r->window >> (r->sequence - sequence) & 1)
+		return true;
+	r->window |= UINT64_C(1) << (r->sequence - sequence);
+	return false;
+}
+
+int cg_ejection_report(struct cg_ejection *e, const char *daemon,
+		       uint64_t incarnation, const char *domain,
+		       uint64_t sequence, cg_ms now, uint32_t *reporter)
+{
+	uint32_t id = XXH32(daemon, strlen(daemon), 0);
+	struct reporter *r =
+		g_hash_table_lookup(e->reporters, GUINT_TO_POINTER(id));
+
+	if (!r) {
+		r = g_new0(struct reporter, 1);
+		r->id = id;
+		r->traffic_at = -CG_MS_NEVER;
+		g_hash_table_insert(e->reporters, GUINT_TO_POINTER(id), r);
+	}
+	if (r->incarnation != incarnation) {
+		r->incarnation = incarnation;
+		r->sequence = 0;
+		r->window = 0;
+	}
+	if (strcmp(r->domain, domain) != 0) {
+		g_strlcpy(r->domain, domain, sizeof(r->domain));
+		r->domain_id = XXH32(domain, strlen(domain), 0);
+	}
+	g_strlcpy(r->name, daemon, sizeof(r->name));
+	*reporter = id;
+	return counted_before(r, sequence) ? -1 : 0;
+}
+
+void cg_ejection_holds(struct cg_ejection *e, uint32_t reporter,
+		       uint64_t version, cg_ms now)
+{
+	struct reporter *r =
+		g_hash_table_lookup(e->reporters, GUINT_TO_POINTER(reporter));
+
+	if (!r)
+		return;
+	r->held_version = version;
+	r->held_until = now + e->rules.verdict_ttl_ms;
+}
+
+/* Counts daemons with traffic and their domains, and drops old records. */
+static void count_reporters(struct cg_ejection *e, cg_ms now)
+{
+	uint32_t domains[8];
+	GHashTableIter it;
+	gpointer v;
+
+	e->active_daemons = 0;
+	e->active_domains = 0;
+	g_hash_table_iter_init(&it, e->reporters);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct reporter *r = v;
+		unsigned int d = 0;
+
+		if (r->traffic_at < now - REPORTER_KEPT_MS &&
+		    r->held_until < now - REPORTER_KEPT_MS) {
+			g_hash_table_iter_remove(&it);
+			continue;
+		}
+		if (r->traffic_at < now - ACTIVE_MS)
+			continue;
+		e->active_daemons++;
+		while (d < e->active_domains && domains[d] != r->domain_id)
+			d++;
+		if (d == e->active_domains && d < G_N_ELEMENTS(domains))
+			domains[e->active_domains++] = r->domain_id;
+	}
+}
+
+/* Whether no daemon can still apply verdicts older than @p version. Holders of
+ * an earlier coordinator's verdicts are not recorded here. */
+static bool confirmed(struct cg_ejection *e, uint64_t version, cg_ms now)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	if (now - e->created < e->rules.verdict_ttl_ms)
+		return false;
+	g_hash_table_iter_init(&it, e->reporters);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct reporter *r = v;
+
+		if (r->held_until > now && r->held_version < version)
+			return false;
+	}
+	return true;
+}
+
+static uint32_t available(const struct cg_ejection *e, uint32_t *total)
+{
+	uint32_t sum = 0;
+
+	*total = 0;
+	for (size_t i = 0; i < e->n; i++) {
+		*total += e->list[i].cfg.slots;
+		if (entry_available(&e->list[i]))
+			sum += e->list[i].cfg.slots;
+	}
+	return sum;
+}
+
+static uint32_t floor_slots(const struct cg_ejection *e, uint32_t total)
+{
+	return (uint32_t)(((uint64_t)total * e->floor_percent + 99) / 100);
+}
+
+static void eject(struct cg_ejection *e, struct entry *s, cg_ms now)
+{
+	cg_ms time;
+
+	if (s->phase == CG_PHASE_IN && s->returned_at > -CG_MS_NEVER) {
+		/* One level is forgiven for each full eject_max_ms in. */
+		cg_ms calm = (now - s->returned_at) / e->rules.eject_max_ms;
+
+		s->level = calm >= s->level ? 0 : s->level - (uint32_t)calm;
+	}
+	time = e->rules.eject_ms << MIN(s->level, 20);
+	s->level++;
+	s->phase = CG_PHASE_EJECTED;
+	s->share = 0;
+	s->any_method = false;
+	s->since = now;
+	s->until = now + MIN(time, e->rules.eject_max_ms);
+	s->ejected_at_sum = s->cusum.sum;
+	s->ejected_by = s->witnesses;
+	s->denial = CG_DENIED_NOTHING;
+	cg_ejection_forget(s);
+	e->version++;
+	e->ejections++;
+}
+
+/* Requests per second that a server in service gets, from the fading window. */
+static double rate_per_server(const struct cg_ejection *e)
+{
+	double n = 0;
+	size_t in = 0;
+
+	for (size_t i = 0; i < e->n; i++) {
+		const struct entry *s = &e->list[i];
+
+		if (s->phase != CG_PHASE_IN || !entry_testable(s))
+			continue;
+		n += s->window_bad + s->window_good;
+		in++;
+	}
+	/* A window with a half-life of 30 s holds 30 / ln 2 seconds. */
+	return in ? n / (double)in / 43.3 : 0;
+}
+
+static uint32_t first_share(const struct cg_ejection *e)
+{
+	double rate = rate_per_server(e);
+	double need = e->rules.step_answers * 1000.0 / FIRST_STEP_MS;
+	double share = rate > 0 ? 1000 * need / rate : e->rules.first_share_max;
+
+	if (share >= e->rules.first_share_max)
+		return e->rules.first_share_max;
+	return MAX((uint32_t)share, trial_share[0]);
+}
+
+static void start_step(struct cg_ejection *e, struct entry *s,
+		       unsigned int step, cg_ms now)
+{
+	s->phase = CG_PHASE_TRIAL;
+	s->step = step;
+	s->share = step ? MAX(trial_share[step], s->share) : first_share(e);
+	s->since = now;
+	s->trial_answers = 0;
+	s->trial_answer_at = now;
+	s->any_method = false;
+	e->version++;
+}
+
+static void reinstate(struct cg_ejection *e, struct entry *s, cg_ms now)
+{
+	s->phase = CG_PHASE_IN;
+	s->share = 1000;
+	s->since = now;
+	s->returned_at = now;
+	s->returned_version = ++e->version;
+	s->unconfirmed = !e->rules.local;
+	cg_ejection_forget(s);
+	e->reinstatements++;
+}
+
+static void advance_trial(struct cg_ejection *e, struct entry *s, cg_ms now)
+{
+	if (!entry_testable(s))
+		return;
+	if (s->cusum.sum >= e->rules.trial_threshold) {
+		eject(e, s, now);
+		return;
+	}
+	if (s->trial_answers < e->rules.step_answers) {
+		/* A service without idempotent requests would never get its
+		 * server back. */
+		if (!s->any_method &&
+		    now - s->trial_answer_at >= e->rules.eject_max_ms) {
+			s->any_method = true;
+			e->version++;
+		}
+		return;
+	}
+	if (s->step + 1 < CG_TRIAL_STEPS)
+		start_step(e, s, s->step + 1, now);
+	else
+		reinstate(e, s, now);
+}
+
+static void advance(struct cg_ejection *e, struct entry *s, cg_ms now)
+{
+	switch (s->phase) {
+	case CG_PHASE_IN:
+		if (s->unconfirmed &&
+		    (now - s->returned_at >= e->rules.verdict_ttl_ms ||
+		     confirmed(e, s->returned_version, now)))
+			s->unconfirmed = false;
+		break;
+	case CG_PHASE_EJECTED:
+		if (now >= s->until)
+			start_step(e, s, 0, now);
+		break;
+	case CG_PHASE_TRIAL:
+		advance_trial(e, s, now);
+		break;
+	}
+}
+
+/* Counts a refusal once per suspicion, not at every tick. */
+static void deny(struct cg_ejection *e, struct entry *s, enum cg_denial why)
+{
+	if (s->denial == why)
+		return;
+	s->denial = why;
+	if (why == CG_DENIED_FLOOR)
+		e->denied_floor++;
+	if (why == CG_DENIED_EVIDENCE)
+		e->denied_evidence++;
+}
+
+/* The local view's ejected server with the lowest sum below @p sum. */
+static struct entry *least_bad(struct cg_ejection *e, double sum)
+{
+	struct entry *found = NULL;
+
+	for (size_t i = 0; i < e->n; i++) {
+		struct entry *s = &e->list[i];
+
+		if (s->phase == CG_PHASE_IN || !entry_testable(s) ||
+		    s->ejected_at_sum >= sum)
+			continue;
+		if (!found || s->ejected_at_sum < found->ejected_at_sum)
+			found = s;
+	}
+	return found;
+}
+
+static bool floor_allows(struct cg_ejection *e, const struct entry *s)
+{
+	uint32_t total, free = available(e, &total);
+
+	if (!entry_available(s))
+		return true; /* It counts as out already. */
+	return free >= s->cfg.slots + floor_slots(e, total);
+}
+
+static void try_eject(struct cg_ejection *e, struct entry *s, cg_ms now)
+{
+	struct entry *other;
+
+	if (!cg_ejection_supported(e, s)) {
+		deny(e, s, CG_DENIED_EVIDENCE);
+		return;
+	}
+	if (cg_ejection_surveying(e, now)) {
+		deny(e, s, CG_DENIED_SURVEY);
+		return;
+	}
+	if (!floor_allows(e, s) && e->rules.local) {
+		other = least_bad(e, s->cusum.sum);
+		if (other)
+			reinstate(e, other, now);
+	}
+	if (floor_allows(e, s))
+		eject(e, s, now);
+	else
+		deny(e, s, CG_DENIED_FLOOR);
+}
+
+/* A fleet verdict, a drain or a configuration change can take capacity after
+ * this daemon avoided servers on its own; it takes the least bad ones back. */
+static void restore_floor(struct cg_ejection *e, cg_ms now)
+{
+	for (;;) {
+		uint32_t total, free = available(e, &total);
+		struct entry *s;
+
+		if (free >= floor_slots(e, total))
+			return;
+		s = least_bad(e, INFINITY);
+		if (!s)
+			return;
+		reinstate(e, s, now);
+	}
+}
+
+void cg_ejection_set_servers(struct cg_ejection *e,
+			     const struct cg_ejection_server *list, size_t n,
+			     uint32_t floor_percent, cg_ms now)
+{
+	struct entry *next = g_new0(struct entry, n);
+
+	for (size_t i = 0; i < n; i++) {
+		uint32_t id = cg_server_id(list[i].name);
+		struct entry *old = cg_ejection_find(e, id);
+
+		if (old) {
+			next[i] = *old;
+		} else {
+			next[i].id = id;
+			next[i].since = now;
+			next[i].returned_at = -CG_MS_NEVER;
+			next[i].p0 = CG_CUSUM_P0_MIN;
+		}
+		next[i].cfg = list[i];
+		/* What was seen before or during a warm-up, a drain or a fleet
+		 * verdict says nothing about the time after it. */
+		if (!entry_testable(&next[i]))
+			cg_ejection_forget(&next[i]);
+	}
+	g_free(e->list);
+	e->list = next;
+	e->n = n;
+	e->floor_percent = floor_percent;
+	for (guint i = 0; i < e->learnt->len; i++) {
+		struct cg_verdict *v =
+			&g_array_index(e->learnt, struct cg_verdict, i);
+		struct entry *s = cg_ejection_find(e, v->server);
+
+		if (s)
+			adopt(e, s, v, now);
+	}
+	g_array_set_size(e->learnt, 0);
+	if (e->rules.local)
+		restore_floor(e, now);
+}
+
+static int by_sum(const void *a, const void *b)
+{
+	const struct entry *x = *(struct entry *const *)a;
+	const struct entry *y = *(struct entry *const *)b;
+
+	return (x->cusum.sum < y->cusum.sum) - (x->cusum.sum > y->cusum.sum);
+}
+
+void cg_ejection_tick(struct cg_ejection *e, cg_ms now)
+{
+	struct entry **bad = g_newa(struct entry *, e->n + 1);
+	size_t n = 0;
+
+	if (now <= e->ticked)
+		return;
+	count_reporters(e, now);
+	cg_ejection_weigh(e, now, now - e->ticked);
+	e->ticked = now;
+	for (size_t i = 0; i < e->n; i++) {
+		struct entry *s = &e->list[i];
+
+		advance(e, s, now);
+		if (s->phase != CG_PHASE_IN || !entry_testable(s))
+			continue;
+		if (s->cusum.sum >= e->rules.threshold)
+			bad[n++] = s;
+		else
+			s->denial = CG_DENIED_NOTHING;
+	}
+	qsort(bad, n, sizeof(struct entry *), by_sum);
+	for (size_t i = 0; i < n; i++)
+		try_eject(e, bad[i], now);
+	if (e->rules.local)
+		restore_floor(e, now);
+}
+
+void cg_ejection_learn(struct cg_ejection *e, const struct cg_verdict *v,
+		       cg_ms now)
+{
+	struct entry *s = cg_ejection_find(e, v->server);
+
+	if (s)
+		adopt(e, s, v, now);
+	else if (!e->n)
+		g_array_append_val(e->learnt, *v);
+}
+
+void cg_ejection_survey_done(struct cg_ejection *e)
+{
+	e->surveying = false;
+}
+
+bool cg_ejection_surveying(const struct cg_ejection *e, cg_ms now)
+{
+	return e->surveying && now - e->created < e->rules.verdict_ttl_ms;
+}
--- /dev/null
+++ b/src/control/ejection_evidence.c
@@ -0,0 +1,252 @@
+/* Turns the observations of one tick into each server's statistic. */
+#include "ejection_internal.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Failures of the other servers are remembered with this half-life: long
+ * enough to hold some hundred requests of a small service, short enough to
+ * follow the failure of a dependency of all servers. */
+#define WINDOW_HALF_LIFE_MS 30000
+/* One daemon of 48 sees a few requests a second; their ratio over some seconds
+ * shows the start of a failure of the whole service. */
+#define RECENT_HALF_LIFE_MS  4000
+#define LATENCY_HALF_LIFE_MS 60000
+/* A suspicion without new evidence fades; short against a day of background
+ * failures, long against the detection time of a service with 1 request/s. */
+#define SUM_HALF_LIFE_MS 300000
+/* Weight of the assumption that the other servers fail at CG_CUSUM_P0_MIN. Kept
+ * low: with 50 and 20, a failure of all servers of a service with one or two
+ * others in reference looked like a ratio below CG_CUSUM_P0_MAX, and servers
+ * were ejected. An overestimate only delays a detection by a tick. */
+#define WINDOW_PRIOR 15.0
+#define TICK_PRIOR   4.0
+/* Latency above this multiple of the other servers' p95 is slow. */
+#define SLOW_FACTOR 3
+/* Answers of a server before its p95 counts as a reference. */
+#define P95_ANSWERS 20.0F
+/* Reference servers before the median of their p95 replaces the pooled p95. */
+#define MEDIAN_SERVERS 3
+#define POOLED_ANSWERS 50.0F
+/* Below this limit latency differences are noise of the scheduler. */
+#define SLOW_LIMIT_MIN_MS 10
+/* The share of its requests that must fail at a daemon that supports an
+ * ejection: half the lowest ratio of an unhealthy server. */
+#define WITNESS_RATIO (CG_CUSUM_P1_MIN / 2)
+/* A sum from here on excludes a server from the reference of the others. */
+#define SUSPECT_SHARE 0.25
+/* No tick alone reaches the threshold: a burst within one second, such as a
+ * restart of the server's process, is over before anybody could act on it. */
+#define STEP_SHARE 0.5
+#define TOP_SHARE  1.25
+
+struct totals {
+	double tick_bad, tick_good;
+	double recent_bad, recent_good;
+	double window_bad, window_good;
+	size_t servers;
+	struct cg_histogram latency;
+};
+
+static bool suspect(const struct cg_ejection *e, const struct entry *s)
+{
+	return s->cusum.sum >= SUSPECT_SHARE * e->rules.threshold;
+}
+
+static bool in_reference(const struct cg_ejection *e, const struct entry *s,
+			 bool with_suspects)
+{
+	return entry_testable(s) && s->phase == CG_PHASE_IN &&
+	       (with_suspects || !suspect(e, s));
+}
+
+/* Suspects are left out of the reference, so that two failing servers do not
+ * hide each other, unless most servers are suspect: then the service as a
+ * whole is failing. */
+static bool include_suspects(const struct cg_ejection *e)
+{
+	size_t in = 0, clear = 0;
+
+	for (size_t i = 0; i < e->n; i++) {
+		in += in_reference(e, &e->list[i], true);
+		clear += in_reference(e, &e->list[i], false);
+	}
+	return clear * 2 < in;
+}
+
+static void totals_add(struct totals *t, const struct entry *s, double sign)
+{
+	t->tick_bad += sign * s->tick_bad;
+	t->tick_good += sign * s->tick_good;
+	t->recent_bad += sign * (s->recent_bad + s->tick_bad);
+	t->recent_good += sign * (s->recent_good + s->tick_good);
+	t->window_bad += sign * s->window_bad;
+	t->window_good += sign * s->window_good;
+	cg_histogram_merge(&t->latency, &s->latency, (float)sign);
+	t->servers += sign > 0 ? 1 : (size_t)-1;
+}
+
+static double ratio(double bad, double good, double prior)
+{
+	return (fmax(bad, 0) + prior * CG_CUSUM_P0_MIN) /
+	       (fmax(bad, 0) + fmax(good, 0) + prior);
+}
+
+/* The highest of the ratios: the last seconds show the start of a failure of
+ * the whole service before the long window does. */
+static double reference(const struct totals *t)
+{
+	double now = ratio(t->tick_bad, t->tick_good, TICK_PRIOR);
+	double recent = ratio(t->recent_bad, t->recent_good, TICK_PRIOR);
+
+	return fmax(fmax(now, recent),
+		    ratio(t->window_bad, t->window_good, WINDOW_PRIOR));
+}
+
+static int compare_ms(const void *a, const void *b)
+{
+	cg_ms x = *(const cg_ms *)a, y = *(const cg_ms *)b;
+
+	return (x > y) - (x < y);
+}
+
+/* The median of the other servers' p95 rather than the p95 of their pooled
+ * answers: among five servers, a single other slow one would raise the pooled
+ * p95 to its own latency and hide the second. Small services pool. */
+static cg_ms slow_limit(const struct cg_ejection *e, const struct entry *self,
+			const struct totals *others, cg_ms *p95s)
+{
+	size_t n = 0;
+	cg_ms limit;
+
+	for (size_t i = 0; i < e->n; i++) {
+		const struct entry *s = &e->list[i];
+
+		if (s != self && in_reference(e, s, true) && s->p95 > 0)
+			p95s[n++] = s->p95;
+	}
+	if (n >= MEDIAN_SERVERS) {
+		qsort(p95s, n, sizeof(*p95s), compare_ms);
+		limit = p95s[(n - 1) / 2];
+	} else if (others->latency.total >= POOLED_ANSWERS) {
+		limit = cg_histogram_quantile(&others->latency, 0.95);
+	} else {
+		return 0;
+	}
+	limit *= SLOW_FACTOR;
+	return limit < SLOW_LIMIT_MIN_MS ? SLOW_LIMIT_MIN_MS : limit;
+}
+
+static void weigh_entry(struct cg_ejection *e, struct entry *s,
+			const struct totals *others)
+{
+	struct cg_cusum_test t;
+	double h = s->phase == CG_PHASE_TRIAL ? e->rules.trial_threshold
+					      : e->rules.threshold;
+	double step = s->phase == CG_PHASE_TRIAL ? h : STEP_SHARE * h;
+
+	s->p0 = fmax(reference(others), e->fleet_reference);
+	if (s->tick_bad + s->tick_good <= 0)
+		return;
+	if (others->servers == 0 || !cg_cusum_test_init(&t, s->p0))
+		return;
+	cg_cusum_add(&s->cusum, &t, s->tick_bad, s->tick_good, step,
+		     TOP_SHARE * h);
+	if (s->cusum.sum <= 0)
+		s->witnesses.n = 0;
+}
+
+static void fade(struct entry *s, cg_ms now, cg_ms elapsed)
+{
+	double w = exp2(-(double)elapsed / WINDOW_HALF_LIFE_MS);
+	double r = exp2(-(double)elapsed / RECENT_HALF_LIFE_MS);
+
+	s->recent_bad = (s->recent_bad + s->tick_bad) * r;
+	s->recent_good = (s->recent_good + s->tick_good) * r;
+	s->window_bad = s->window_bad * w + s->tick_bad;
+	s->window_good = s->window_good * w + s->tick_good;
+	s->tick_bad = 0;
+	s->tick_good = 0;
+	cg_histogram_fade(&s->latency,
+			  exp2(-(double)elapsed / LATENCY_HALF_LIFE_MS));
+	s->p95 = s->latency.total >= P95_ANSWERS
+			 ? cg_histogram_quantile(&s->latency, 0.95)
+			 : 0;
+	cg_cusum_fade(&s->cusum, elapsed, SUM_HALF_LIFE_MS);
+	cg_witnesses_expire(&s->witnesses, now - SUM_HALF_LIFE_MS);
+}
+
+void cg_ejection_weigh(struct cg_ejection *e, cg_ms now, cg_ms elapsed)
+{
+	struct totals all = { 0 };
+	bool suspects = include_suspects(e);
+	cg_ms *p95s = g_newa(cg_ms, e->n + 1);
+
+	for (size_t i = 0; i < e->n; i++)
+		if (in_reference(e, &e->list[i], suspects))
+			totals_add(&all, &e->list[i], 1);
+	e->reference = reference(&all);
+	for (size_t i = 0; i < e->n; i++) {
+		struct entry *s = &e->list[i];
+		bool member = in_reference(e, s, suspects);
+
+		if (!entry_testable(s) || s->phase == CG_PHASE_EJECTED)
+			continue;
+		if (member)
+			totals_add(&all, s, -1);
+		weigh_entry(e, s, &all);
+		s->slow_limit = slow_limit(e, s, &all, p95s);
+		if (member)
+			totals_add(&all, s, 1);
+	}
+	for (size_t i = 0; i < e->n; i++)
+		fade(&e->list[i], now, elapsed);
+}
+
+bool cg_ejection_supported(const struct cg_ejection *e, const struct entry *s)
+{
+	unsigned int daemons, domains;
+
+	cg_witnesses_count(&s->witnesses, WITNESS_RATIO, &daemons, &domains);
+	return daemons >= MIN(e->rules.min_daemons, e->active_daemons) &&
+	       domains >= MIN(e->rules.min_domains, e->active_domains) &&
+	       daemons > 0;
+}
+
+void cg_ejection_forget(struct entry *s)
+{
+	s->cusum.sum = 0;
+	s->witnesses.n = 0;
+	s->tick_bad = 0;
+	s->tick_good = 0;
+}
+
+void cg_ejection_observe(struct cg_ejection *e, uint32_t reporter,
+			 uint32_t server, const struct cg_sample *sample,
+			 cg_ms now)
+{
+	struct entry *s = cg_ejection_find(e, server);
+	struct reporter *r =
+		g_hash_table_lookup(e->reporters, GUINT_TO_POINTER(reporter));
+	double answered, slow, bad;
+
+	if (!s || !r)
+		return;
+	r->traffic_at = now;
+	if (!entry_testable(s) || s->phase == CG_PHASE_EJECTED)
+		return;
+	answered = cg_sample_answered(sample);
+	slow = s->slow_limit > 0 ? cg_sample_slow(sample, s->slow_limit) : 0;
+	bad = sample->failed + slow;
+	if (s->phase == CG_PHASE_IN)
+		cg_histogram_add(&s->latency, sample);
+	s->tick_bad += bad;
+	s->tick_good += answered - slow;
+	if (s->phase == CG_PHASE_TRIAL && answered + sample->failed > 0) {
+		s->trial_answers += answered + sample->failed;
+		s->trial_answer_at = now;
+	}
+	cg_witnesses_add(&s->witnesses, r->id, r->domain_id, bad,
+			 answered - slow, now);
+}
--- /dev/null
+++ b/src/control/ejection_internal.h
@@ -0,0 +1,97 @@
+/* Shared by the ejection_*.c files. */
+#ifndef CG_EJECTION_INTERNAL_H
+#define CG_EJECTION_INTERNAL_H
+
+#include <glib.h>
+
+#include "celeryglade/cusum.h"
+#include "celeryglade/ejection.h"
+
+/** A daemon that sent digests or fetched verdicts. */
+struct reporter {
+	uint32_t id;
+	uint32_t domain_id;
+	char name[CG_NAME_MAX + 1];
+	char domain[CG_NAME_MAX + 1];
+	uint64_t incarnation;
+	uint64_t sequence; /**< Highest one counted. */
+	uint64_t window; /**< Bit n: sequence - n was counted. */
+	cg_ms traffic_at; /**< Last observation; negative if none. */
+	uint64_t held_version; /**< Verdicts it may apply ... */
+	cg_ms held_until; /**< ... until then. */
+};
+
+struct entry {
+	struct cg_ejection_server cfg;
+	uint32_t id;
+	enum cg_server_phase phase;
+	unsigned int step;
+	uint32_t share;
+	bool any_method;
+	uint32_t level;
+	cg_ms since;
+	cg_ms until;
+	cg_ms returned_at; /**< CG_MS_NEVER negated if never. */
+	uint64_t returned_version;
+	bool unconfirmed; /**< Reinstated, but counts as out. */
+	struct cg_cusum cusum;
+	double tick_bad;
+	double tick_good;
+	double recent_bad; /**< Counts that fade within seconds ... */
+	double recent_good;
+	double window_bad; /**< ... and within half a minute. */
+	double window_good;
+	double p0;
+	double trial_answers;
+	cg_ms trial_answer_at;
+	struct cg_histogram latency;
+	cg_ms p95;
+	cg_ms slow_limit;
+	struct cg_witnesses witnesses;
+	struct cg_witnesses ejected_by;
+	double ejected_at_sum;
+	enum cg_denial denial;
+};
+
+struct cg_ejection {
+	struct cg_ejection_rules rules;
+	uint64_t epoch;
+	uint64_t version;
+	bool surveying;
+	cg_ms created;
+	cg_ms ticked;
+	uint32_t floor_percent;
+	struct entry *list; /**< In order of configuration. */
+	size_t n;
+	GHashTable *reporters; /**< id -> struct reporter. */
+	GArray *learnt; /**< Verdicts on servers not yet configured. */
+	double fleet_reference;
+	double reference; /**< Of the whole service, at the last tick. */
+	unsigned int active_daemons; /**< With traffic in the last minute. */
+	unsigned int active_domains;
+	uint64_t denied_floor;
+	uint64_t denied_evidence;
+	uint64_t ejections;
+	uint64_t reinstatements;
+};
+
+struct entry *cg_ejection_find(const struct cg_ejection *e, uint32_t id);
+
+/** Whether the entry's observations count now. */
+static inline bool entry_testable(const struct entry *s)
+{
+	return !s->cfg.cold && !s->cfg.leaving && !s->cfg.out_by_fleet;
+}
+
+/** Whether the entry's slots count as available. */
+static inline bool entry_available(const struct entry *s)
+{
+	return entry_testable(s) && s->phase == CG_PHASE_IN && !s->unconfirmed;
+}
+
+/* ejection_evidence.c: adds the tick's observations to the sums. */
+void cg_ejection_weigh(struct cg_ejection *e, cg_ms now, cg_ms elapsed);
+bool cg_ejection_supported(const struct cg_ejection *e, const struct entry *s);
+void cg_ejection_forget(struct entry *s);
+
+#endif
--- /dev/null
+++ b/src/control/ejection_report.c
@@ -0,0 +1,137 @@
+/* What the ejection state tells to others: verdicts and explanations. */
+#include "ejection_internal.h"
+
+#include <math.h>
+#include <string.h>
+
+size_t cg_ejection_verdicts(const struct cg_ejection *e, cg_ms now,
+			    struct cg_verdict *out, size_t max)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < e->n && n < max; i++) {
+		const struct entry *s = &e->list[i];
+
+		if (s->phase == CG_PHASE_IN)
+			continue;
+		out[n++] = (struct cg_verdict){
+			.server = s->id,
+			.phase = s->phase,
+			.share = s->share,
+			.any_method = s->any_method,
+			.level = s->level,
+			.left_ms = s->phase == CG_PHASE_EJECTED
+					   ? MAX(s->until - now, 0)
+					   : 0,
+		};
+	}
+	return n;
+}
+
+uint64_t cg_ejection_epoch(const struct cg_ejection *e)
+{
+	return e->epoch;
+}
+
+uint64_t cg_ejection_version(const struct cg_ejection *e)
+{
+	return e->version;
+}
+
+bool cg_ejection_watching(const struct cg_ejection *e)
+{
+	for (size_t i = 0; i < e->n; i++) {
+		const struct entry *s = &e->list[i];
+
+		if (s->phase != CG_PHASE_IN || s->unconfirmed ||
+		    s->cusum.sum >= e->rules.threshold / 4)
+			return true;
+	}
+	return false;
+}
+
+double cg_ejection_reference(const struct cg_ejection *e)
+{
+	return fmax(e->reference, CG_CUSUM_P0_MIN);
+}
+
+void cg_ejection_set_reference(struct cg_ejection *e, double p0)
+{
+	e->fleet_reference = p0;
+}
+
+static void explain_witnesses(const struct cg_ejection *e,
+			      const struct cg_witnesses *w,
+			      struct cg_ejection_explanation *out)
+{
+	for (size_t i = 0; i < w->n; i++) {
+		const struct cg_witness *s = &w->list[i];
+		const struct reporter *r = g_hash_table_lookup(
+			e->reporters, GUINT_TO_POINTER(s->daemon));
+
+		g_strlcpy(out->witnesses[i].daemon, r ? r->name : "?",
+			  sizeof(out->witnesses[i].daemon));
+		g_strlcpy(out->witnesses[i].domain, r ? r->domain : "?",
+			  sizeof(out->witnesses[i].domain));
+		out->witnesses[i].bad = s->bad;
+		out->witnesses[i].good = s->good;
+	}
+	out->witness_count = w->n;
+	cg_witnesses_count(w, CG_CUSUM_P1_MIN / 2, &out->daemons,
+			   &out->domains);
+}
+
+int cg_ejection_explain(const struct cg_ejection *e, uint32_t server, cg_ms now,
+			struct cg_ejection_explanation *out)
+{
+	const struct entry *s = cg_ejection_find(e, server);
+
+	if (!s)
+		return -1;
+	memset(out, 0, sizeof(*out));
+	out->phase = s->phase;
+	out->step = s->step;
+	out->share = s->phase == CG_PHASE_IN ? 1000 : s->share;
+	out->level = s->level;
+	out->since = s->since;
+	out->until = s->until;
+	out->counts_as_out = s->unconfirmed;
+	out->sum = s->cusum.sum;
+	out->ejected_at_sum = s->ejected_at_sum;
+	out->threshold = s->phase == CG_PHASE_TRIAL ? e->rules.trial_threshold
+						    : e->rules.threshold;
+	out->reference = s->p0;
+	out->slow_limit = s->slow_limit;
+	out->denial = s->denial;
+	out->daemons_needed = MIN(e->rules.min_daemons, e->active_daemons);
+	out->domains_needed = MIN(e->rules.min_domains, e->active_domains);
+	explain_witnesses(
+		e, s->phase == CG_PHASE_IN ? &s->witnesses : &s->ejected_by,
+		out);
+	return 0;
+}
+
+void cg_ejection_capacity(const struct cg_ejection *e, cg_ms now,
+			  struct cg_ejection_capacity *out)
+{
+	memset(out, 0, sizeof(*out));
+	for (size_t i = 0; i < e->n; i++) {
+		out->total += e->list[i].cfg.slots;
+		if (entry_available(&e->list[i]))
+			out->available += e->list[i].cfg.slots;
+	}
+	out->floor = (uint32_t)(((uint64_t)out->total * e->floor_percent + 99) /
+				100);
+	out->reporters = e->active_daemons;
+	out->denied_floor = e->denied_floor;
+	out->denied_evidence = e->denied_evidence;
+	out->ejections = e->ejections;
+	out->reinstatements = e->reinstatements;
+}
+
+size_t cg_ejection_memory(const struct cg_ejection *e)
+{
+	return sizeof(*e) + e->n * sizeof(struct entry) +
+	       g_hash_table_size(e->reporters) *
+		       (sizeof(struct reporter) + 4 * sizeof(void *));
+}
--- /dev/null
+++ b/src/control/evidence.c
@@ -0,0 +1,210 @@
+#include "celeryglade/evidence.h"
+
+#include <math.h>
+#include <string.h>
+
+enum {
+	CODE_FAILED = CG_LATENCY_BUCKETS,
+	CODE_SHED,
+	CODE_END,
+};
+
+unsigned int cg_latency_bucket(cg_ms latency)
+{
+	uint64_t v = latency < 1 ? 1 : (uint64_t)latency;
+	unsigned int msb = 63 - (unsigned int)__builtin_clzll(v);
+	/* The two bits below the highest one divide its power of two. */
+	unsigned int sub =
+		msb >= 2 ? (v >> (msb - 2)) & 3 : (v << (2 - msb)) & 3;
+	unsigned int b = msb * 4 + sub;
+
+	return b < CG_LATENCY_BUCKETS ? b : CG_LATENCY_BUCKETS - 1;
+}
+
+cg_ms cg_latency_bucket_low(unsigned int bucket)
+{
+	unsigned int msb = bucket / 4;
+	uint64_t v = 4 + bucket % 4;
+
+	return (cg_ms)(msb >= 2 ? v << (msb - 2) : v >> (2 - msb));
+}
+
+void cg_sample_add(struct cg_sample *a, const struct cg_sample *b)
+{
+	a->failed += b->failed;
+	a->shed += b->shed;
+	for (int i = 0; i < CG_LATENCY_BUCKETS; i++)
+		a->answered[i] += b->answered[i];
+}
+
+uint32_t cg_sample_answered(const struct cg_sample *s)
+{
+	uint32_t n = 0;
+
+	for (int i = 0; i < CG_LATENCY_BUCKETS; i++)
+		n += s->answered[i];
+	return n;
+}
+
+double cg_sample_slow(const struct cg_sample *s, cg_ms limit)
+{
+	unsigned int at = cg_latency_bucket(limit);
+	cg_ms low = cg_latency_bucket_low(at);
+	cg_ms high = cg_latency_bucket_low(at + 1);
+	double n = 0;
+
+	for (unsigned int i = at + 1; i < CG_LATENCY_BUCKETS; i++)
+		n += s->answered[i];
+	if (high > limit)
+		n += s->answered[at] * (double)(high - limit) /
+		     (double)(high - low);
+	return n;
+}
+
+static size_t pack_count(uint8_t code, uint32_t count, uint8_t *out, size_t at,
+			 size_t max)
+{
+	while (count && at + 2 <= max) {
+		uint8_t part = count > 255 ? 255 : (uint8_t)count;
+
+		out[at++] = code;
+		out[at++] = part;
+		count -= part;
+	}
+	return at;
+}
+
+size_t cg_sample_pack(const struct cg_sample *s, uint8_t *out, size_t max)
+{
+	size_t at = pack_count(CODE_FAILED, s->failed, out, 0, max);
+
+	for (uint8_t i = 0; i < CG_LATENCY_BUCKETS; i++)
+		at = pack_count(i, s->answered[i], out, at, max);
+	return pack_count(CODE_SHED, s->shed, out, at, max);
+}
+
+int cg_sample_unpack(struct cg_sample *s, const uint8_t *in, size_t len)
+{
+	memset(s, 0, sizeof(*s));
+	if (len % 2)
+		return -1;
+	for (size_t i = 0; i < len; i += 2) {
+		if (in[i] < CG_LATENCY_BUCKETS)
+			s->answered[in[i]] += in[i + 1];
+		else if (in[i] == CODE_FAILED)
+			s->failed += in[i + 1];
+		else if (in[i] == CODE_SHED)
+			s->shed += in[i + 1];
+		else
+			return -1;
+	}
+	return 0;
+}
+
+void cg_histogram_add(struct cg_histogram *h, const struct cg_sample *s)
+{
+	for (int i = 0; i < CG_LATENCY_BUCKETS; i++) {
+		h->n[i] += (float)s->answered[i];
+		h->total += (float)s->answered[i];
+	}
+}
+
+void cg_histogram_fade(struct cg_histogram *h, double factor)
+{
+	for (int i = 0; i < CG_LATENCY_BUCKETS; i++)
+		h->n[i] *= (float)factor;
+	h->total *= (float)factor;
+}
+
+void cg_histogram_merge(struct cg_histogram *a, const struct cg_histogram *b,
+			float sign)
+{
+	for (int i = 0; i < CG_LATENCY_BUCKETS; i++)
+		a->n[i] += sign * b->n[i];
+	a->total += sign * b->total;
+}
+
+cg_ms cg_histogram_quantile(const struct cg_histogram *h, double q)
+{
+	double left = h->total * q;
+
+	if (h->total <= 0)
+		return 0;
+	for (unsigned int i = 0; i < CG_LATENCY_BUCKETS; i++) {
+		cg_ms low = cg_latency_bucket_low(i);
+		cg_ms high = cg_latency_bucket_low(i + 1);
+
+		if (left <= h->n[i] && h->n[i] > 0)
+			return low +
+			       (cg_ms)((double)(high - low) * left / h->n[i]);
+		left -= h->n[i];
+	}
+	return cg_latency_bucket_low(CG_LATENCY_BUCKETS);
+}
+
+static struct cg_witness *witness_slot(struct cg_witnesses *w, uint32_t daemon)
+{
+	struct cg_witness *least = &w->list[0];
+
+	for (size_t i = 0; i < w->n; i++) {
+		if (w->list[i].daemon == daemon)
+			return &w->list[i];
+		if (w->list[i].bad < least->bad)
+			least = &w->list[i];
+	}
+	if (w->n < CG_WITNESSES)
+		least = &w->list[w->n++];
+	memset(least, 0, sizeof(*least));
+	return least;
+}
+
+void cg_witnesses_add(struct cg_witnesses *w, uint32_t daemon, uint32_t domain,
+		      double bad, double good, cg_ms now)
+{
+	struct cg_witness *s = NULL;
+
+	for (size_t i = 0; i < w->n && !s; i++)
+		if (w->list[i].daemon == daemon)
+			s = &w->list[i];
+	if (!s && bad <= 0)
+		return;
+	if (!s)
+		s = witness_slot(w, daemon);
+	s->daemon = daemon;
+	s->domain = domain;
+	s->bad += (float)bad;
+	s->good += (float)good;
+	if (bad > 0)
+		s->at = now;
+}
+
+void cg_witnesses_expire(struct cg_witnesses *w, cg_ms since)
+{
+	size_t kept = 0;
+
+	for (size_t i = 0; i < w->n; i++)
+		if (w->list[i].at >= since)
+			w->list[kept++] = w->list[i];
+	w->n = kept;
+}
+
+void cg_witnesses_count(const struct cg_witnesses *w, double ratio,
+			unsigned int *daemons, unsigned int *domains)
+{
+	uint32_t seen[CG_WITNESSES];
+
+	*daemons = 0;
+	*domains = 0;
+	for (size_t i = 0; i < w->n; i++) {
+		const struct cg_witness *s = &w->list[i];
+		unsigned int d = 0;
+
+		if (s->bad < ratio * (s->bad + s->good))
+			continue;
+		++*daemons;
+		while (d < *domains && seen[d] != s->domain)
+			d++;
+		if (d == *domains)
+			seen[(*domains)++] = s->domain;
+	}
+}
--- /dev/null
+++ b/tests/support/health_trace.c
@@ -0,0 +1,369 @@
+#include "health_trace.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "health_sim.h"
+
+#define LINES_MAX 64
+#define START_MS  1000000
+
+struct line {
+	int number;
+	char *word[8];
+	size_t n;
+};
+
+struct trace {
+	const char *path;
+	struct line line[LINES_MAX];
+	size_t n;
+	double end;
+};
+
+/* What happened in one run. */
+struct run {
+	struct sim sim;
+	double first_ejected[SIM_SERVERS_MAX]; /**< -1: never. */
+	size_t most_avoiding[SIM_SERVERS_MAX];
+	bool in_at_end[SIM_SERVERS_MAX]; /**< Full weight at every daemon. */
+	uint64_t fingerprint;
+};
+
+static int server_of(const char *word)
+{
+	return word[0] == 's' ? atoi(word + 1) : -1;
+}
+
+static void set_key(struct sim *s, const char *key, const char *value)
+{
+	double v = atof(value);
+
+	if (!g_strcmp0(key, "servers"))
+		s->servers = (size_t)v;
+	else if (!g_strcmp0(key, "daemons"))
+		s->daemons = (size_t)v;
+	else if (!g_strcmp0(key, "domains"))
+		s->domains = (size_t)v;
+	else if (!g_strcmp0(key, "slots"))
+		s->slots = (uint32_t)v;
+	else if (!g_strcmp0(key, "floor"))
+		s->floor_percent = (uint32_t)v;
+	else if (!g_strcmp0(key, "rate"))
+		s->rate = v;
+	else if (!g_strcmp0(key, "seed"))
+		s->seed = (uint64_t)v;
+	else if (!g_strcmp0(key, "idempotent"))
+		s->single_requests = v <= 0;
+	else
+		g_error("unknown key %s", key);
+}
+
+static void switch_off(struct sim *s, const char *mechanism)
+{
+	const struct {
+		const char *name;
+		bool *flag;
+	} known[] = {
+		{ "floor", &s->no_floor },
+		{ "domains", &s->no_domains },
+		{ "survey", &s->no_survey },
+		{ "local", &s->no_local },
+		{ "pooling", &s->no_pooling },
+		{ "shed", &s->no_shed },
+		{ "cold", &s->no_cold },
+		{ "drain", &s->no_drain },
+		{ "ttl", &s->no_ttl },
+		{ "doubling", &s->no_doubling },
+		{ "ownership", &s->owner_lease },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(known); i++) {
+		if (!g_strcmp0(known[i].name, mechanism)) {
+			*known[i].flag = true;
+			return;
+		}
+	}
+	g_error("unknown mechanism %s", mechanism);
+}
+
+/* Mechanisms are separated by commas. */
+static void switch_all_off(struct sim *s, const char *mechanisms)
+{
+	char **list = g_strsplit(mechanisms, ",", -1);
+
+	for (char **p = list; *p; p++)
+		switch_off(s, *p);
+	g_strfreev(list);
+}
+
+static void act_on_server(struct sim *s, const struct line *l)
+{
+	struct sim_server *v = &s->server[server_of(l->word[3])];
+	double a = l->n > 4 ? atof(l->word[4]) : 0;
+	const char *what = l->word[2];
+
+	if (!g_strcmp0(what, "fail")) {
+		v->fail = a;
+		v->sick_at = s->now;
+	} else if (!g_strcmp0(what, "slow")) {
+		v->slow = a;
+		v->sick_at = s->now;
+	} else if (!g_strcmp0(what, "flap")) {
+		v->fail = a;
+		v->flap_on_ms = atof(l->word[5]) * 1000;
+		v->flap_off_ms = atof(l->word[6]) * 1000;
+		v->sick_at = s->now;
+	} else if (!g_strcmp0(what, "heal")) {
+		v->fail = 0;
+		v->slow = 1;
+		v->flap_on_ms = 0;
+		v->sick_until = s->now + 15000;
+	} else if (!g_strcmp0(what, "shed")) {
+		v->shed = a;
+	} else if (!g_strcmp0(what, "drain")) {
+		v->draining_until = s->now + (cg_ms)(a * 1000);
+	} else if (!g_strcmp0(what, "cold")) {
+		v->cold_until = s->now + (cg_ms)(a * 1000);
+	} else {
+		g_error("unknown action %s", what);
+	}
+}
+
+static void act(struct sim *s, const struct line *l)
+{
+	const char *what = l->word[2];
+
+	if (!g_strcmp0(what, "service")) {
+		s->all_fail = atof(l->word[3]);
+		s->all_slow = atof(l->word[4]);
+		s->all_until = s->now + (cg_ms)(atof(l->word[5]) * 1000);
+	} else if (!g_strcmp0(what, "coordinator")) {
+		sim_new_coordinator(s);
+	} else if (!g_strcmp0(what, "silent")) {
+		s->silent = true;
+	} else if (!g_strcmp0(what, "store_down")) {
+		s->silent = s->owner_lease;
+	} else if (!g_strcmp0(what, "deaf")) {
+		s->daemon[atoi(l->word[3] + 1)].deaf = true;
+	} else if (!g_strcmp0(what, "partition")) {
+		s->daemon[atoi(l->word[3] + 1)]
+			.partition[server_of(l->word[4])] = true;
+	} else {
+		act_on_server(s, l);
+	}
+}
+
+static void mix(struct run *r, uint64_t v)
+{
+	r->fingerprint = (r->fingerprint ^ v) * UINT64_C(0x100000001B3);
+}
+
+static void watch(struct run *r)
+{
+	struct sim *s = &r->sim;
+
+	for (size_t i = 0; i < s->servers; i++) {
+		size_t n = sim_daemons_avoiding(s, i);
+
+		if (n > r->most_avoiding[i])
+			r->most_avoiding[i] = n;
+		if (r->first_ejected[i] < 0 && sim_ejected(s, i))
+			r->first_ejected[i] =
+				(double)(s->now - START_MS) / 1000;
+		mix(r, n);
+	}
+	mix(r, s->requests);
+	mix(r, s->failed_requests);
+}
+
+static void replay(const struct trace *t, const char *without, struct run *r)
+{
+	struct sim *s = &r->sim;
+
+	memset(r, 0, sizeof(*r));
+	s->seed = 1;
+	s->servers = 5;
+	s->daemons = 12;
+	s->domains = 3;
+	s->slots = 6;
+	s->floor_percent = 50;
+	s->rate = 10;
+	s->fail = 0.005;
+	s->latency_ms = 100;
+	s->sigma = 0.4;
+	for (size_t i = 0; i < t->n; i++)
+		if (!g_strcmp0(t->line[i].word[0], "set"))
+			set_key(s, t->line[i].word[1], t->line[i].word[2]);
+	if (without)
+		switch_all_off(s, without);
+	sim_start(s);
+	for (size_t i = 0; i < s->servers; i++)
+		r->first_ejected[i] = -1;
+	while (s->now < START_MS + (cg_ms)(t->end * 1000)) {
+		for (size_t i = 0; i < t->n; i++) {
+			const struct line *l = &t->line[i];
+
+			if (!g_strcmp0(l->word[0], "at") &&
+			    (cg_ms)(atof(l->word[1]) * 1000) ==
+				    s->now - START_MS)
+				act(s, l);
+		}
+		sim_step(s);
+		watch(r);
+	}
+	for (size_t i = 0; i < s->servers; i++) {
+		r->in_at_end[i] = true;
+		for (size_t d = 0; d < s->daemons; d++)
+			r->in_at_end[i] &= s->daemon[d].weight[i] == 1000;
+	}
+	sim_free(s);
+}
+
+/* Checks on one server; @p w holds the server's name and the numbers. */
+static bool check_server(struct run *r, const char *what, char *const *w,
+			 size_t n)
+{
+	struct sim *s = &r->sim;
+	int i = server_of(w[0]);
+	double a = n > 1 ? atof(w[1]) : 0, b = n > 2 ? atof(w[2]) : 0;
+	double at = r->first_ejected[i];
+
+	if (!g_strcmp0(what, "ejected"))
+		return at >= a && at <= b;
+	if (!g_strcmp0(what, "never"))
+		return at < 0;
+	if (!g_strcmp0(what, "out_at_end"))
+		return !r->in_at_end[i];
+	if (!g_strcmp0(what, "in_at_end"))
+		return r->in_at_end[i];
+	if (!g_strcmp0(what, "avoided_by"))
+		return r->most_avoiding[i] >= (size_t)a &&
+		       r->most_avoiding[i] <= (size_t)b;
+	if (!g_strcmp0(what, "sick_share_under"))
+		return (double)s->sick_requests < (double)s->requests * a / 100;
+	g_error("unknown check %s", what);
+}
+
+static bool check(struct run *r, const char *what, char *const *w, size_t n)
+{
+	struct sim *s = &r->sim;
+	double a = n ? atof(w[0]) : 0, b = n > 1 ? atof(w[1]) : 0;
+
+	if (!g_strcmp0(what, "floor_held"))
+		return !s->bad_floor_ticks && !s->bad_local_floor_ticks;
+	if (!g_strcmp0(what, "floor_broken"))
+		return s->bad_floor_ticks || s->bad_local_floor_ticks;
+	if (!g_strcmp0(what, "ejections"))
+		return (double)s->ejections >= a && (double)s->ejections <= b;
+	if (!g_strcmp0(what, "false_ejections"))
+		return (double)(s->fleet_false + s->local_false) >= a &&
+		       (double)(s->fleet_false + s->local_false) <= b;
+	if (!g_strcmp0(what, "baseline_false"))
+		return (double)s->base_false >= a && (double)s->base_false <= b;
+	if (!g_strcmp0(what, "failed_percent")) {
+		double f = 100.0 * (double)s->failed_requests /
+			   (double)s->requests;
+
+		return f >= a && f <= b;
+	}
+	return check_server(r, what, w, n);
+}
+
+static void print_run(const struct run *r)
+{
+	const struct sim *s = &r->sim;
+
+	printf("  ejections %llu, false %llu fleet %llu local, baseline false %llu, failed %.2f %%, floor broken %llu and %llu, sick share %.2f %%\n",
+	       (unsigned long long)s->ejections,
+	       (unsigned long long)s->fleet_false,
+	       (unsigned long long)s->local_false,
+	       (unsigned long long)s->base_false,
+	       100.0 * (double)s->failed_requests / (double)s->requests,
+	       (unsigned long long)s->bad_floor_ticks,
+	       (unsigned long long)s->bad_local_floor_ticks,
+	       100.0 * (double)s->sick_requests / (double)s->requests);
+	for (size_t i = 0; i < s->servers; i++)
+		printf("  s%zu ejected at %.1f, avoided by %zu\n", i,
+		       r->first_ejected[i], r->most_avoiding[i]);
+}
+
+static int check_line(const struct trace *t, const struct line *l,
+		      const char *without, struct run *r)
+{
+	size_t from = without ? 2 : 1;
+
+	if (check(r, l->word[from], &l->word[from + 1], l->n - from - 1))
+		return 0;
+	printf("%s:%d: %s %s does not hold\n", t->path, l->number,
+	       l->word[from], without ? "without the mechanism" : "");
+	print_run(r);
+	return -1;
+}
+
+static int run_twice(const struct trace *t, const char *without, struct run *r)
+{
+	struct run *again = g_new(struct run, 1);
+	int rc = 0;
+
+	replay(t, without, r);
+	replay(t, without, again);
+	if (r->fingerprint != again->fingerprint) {
+		printf("%s: two runs differ\n", t->path);
+		rc = -1;
+	}
+	g_free(again);
+	return rc;
+}
+
+static void read_lines(struct trace *t, char *text)
+{
+	char *save, *line;
+	int number = 0;
+
+	for (char *p = text; (line = strsep(&p, "\n"));) {
+		struct line *l = &t->line[t->n];
+		char *w;
+
+		number++;
+		line[strcspn(line, "#")] = 0;
+		l->number = number;
+		l->n = 0;
+		for (w = strtok_r(line, " \t", &save); w && l->n < 8;
+		     w = strtok_r(NULL, " \t", &save))
+			l->word[l->n++] = w;
+		if (!l->n)
+			continue;
+		if (!g_strcmp0(l->word[0], "end"))
+			t->end = atof(l->word[1]);
+		if (++t->n == LINES_MAX)
+			g_error("%s: too many lines", t->path);
+	}
+}
+
+int health_trace_run(const char *path)
+{
+	struct trace t = { .path = path };
+	struct run *r = g_new(struct run, 1);
+	char *text;
+	int rc;
+
+	if (!g_file_get_contents(path, &text, NULL, NULL))
+		g_error("%s cannot be read", path);
+	read_lines(&t, text);
+	rc = run_twice(&t, NULL, r);
+	for (size_t i = 0; i < t.n; i++)
+		if (!g_strcmp0(t.line[i].word[0], "expect"))
+			rc |= check_line(&t, &t.line[i], NULL, r);
+	for (size_t i = 0; i < t.n; i++) {
+		if (g_strcmp0(t.line[i].word[0], "without") != 0)
+			continue;
+		rc |= run_twice(&t, t.line[i].word[1], r);
+		rc |= check_line(&t, &t.line[i], t.line[i].word[1], r);
+	}
+	g_free(r);
+	g_free(text);
+	return rc;
+}
--- /dev/null
+++ b/tests/test_evidence.c
@@ -0,0 +1,105 @@
+/* Guards against evidence that changes on its way: lost counts in a digest,
+ * latency classes that overlap, and daemons counted that saw a server work. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include <string.h>
+
+#include "celeryglade/evidence.h"
+
+static void classes_are_in_order(void **state)
+{
+	unsigned int last = 0;
+
+	for (cg_ms ms = 0; ms < 70000; ms++) {
+		unsigned int b = cg_latency_bucket(ms);
+
+		assert_true(b >= last && b < CG_LATENCY_BUCKETS);
+		last = b;
+		if (ms > 0 && b + 1 < CG_LATENCY_BUCKETS) {
+			assert_true(cg_latency_bucket_low(b) <= ms);
+			assert_true(cg_latency_bucket_low(b + 1) >= ms);
+		}
+	}
+	assert_int_equal(last, CG_LATENCY_BUCKETS - 1);
+	assert_int_equal(cg_latency_bucket(CG_MS_NEVER),
+			 CG_LATENCY_BUCKETS - 1);
+}
+
+static void packing_keeps_every_count(void **state)
+{
+	struct cg_sample a = { .failed = 700, .shed = 3 }, b;
+	uint8_t buf[512];
+	size_t n;
+
+	a.answered[0] = 1;
+	a.answered[63] = 256;
+	n = cg_sample_pack(&a, buf, sizeof(buf));
+	assert_int_equal(cg_sample_unpack(&b, buf, n), 0);
+	assert_memory_equal(&a, &b, sizeof(a));
+	/* Failures come first, so that a full buffer drops answers. */
+	n = cg_sample_pack(&a, buf, 6);
+	assert_int_equal(cg_sample_unpack(&b, buf, n), 0);
+	assert_int_equal(b.failed, 700);
+}
+
+static void malformed_samples_are_refused(void **state)
+{
+	struct cg_sample s;
+
+	assert_int_equal(cg_sample_unpack(&s, (uint8_t[]){ 1 }, 1), -1);
+	assert_int_equal(cg_sample_unpack(&s, (uint8_t[]){ 66, 1 }, 2), -1);
+	assert_int_equal(cg_sample_unpack(&s, (uint8_t[]){ 255, 1 }, 2), -1);
+}
+
+static void quantile_and_slow_share_agree(void **state)
+{
+	struct cg_histogram h = { 0 };
+	struct cg_sample s = { 0 };
+	cg_ms p95;
+
+	for (cg_ms ms = 100; ms < 200; ms++)
+		s.answered[cg_latency_bucket(ms)]++;
+	cg_histogram_add(&h, &s);
+	p95 = cg_histogram_quantile(&h, 0.95);
+	assert_in_range(p95, 185, 205);
+	assert_true(cg_sample_slow(&s, p95) > 2 && cg_sample_slow(&s, p95) < 8);
+	assert_true(cg_sample_slow(&s, 300) == 0);
+	assert_true(cg_sample_slow(&s, 90) == 100);
+}
+
+static void only_daemons_that_see_it_fail_are_counted(void **state)
+{
+	struct cg_witnesses w = { .n = 0 };
+	unsigned int daemons, domains;
+
+	cg_witnesses_add(&w, 1, 1, 5, 0, 10);
+	cg_witnesses_add(&w, 2, 1, 5, 0, 10);
+	cg_witnesses_add(&w, 3, 2, 1, 50, 10); /* Background failure. */
+	cg_witnesses_add(&w, 4, 2, 0, 50, 10);
+	cg_witnesses_count(&w, 0.15, &daemons, &domains);
+	assert_int_equal(daemons, 2);
+	assert_int_equal(domains, 1);
+	cg_witnesses_add(&w, 5, 2, 2, 1, 20);
+	cg_witnesses_count(&w, 0.15, &daemons, &domains);
+	assert_int_equal(daemons, 3);
+	assert_int_equal(domains, 2);
+	cg_witnesses_expire(&w, 15);
+	cg_witnesses_count(&w, 0.15, &daemons, &domains);
+	assert_int_equal(daemons, 1);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(classes_are_in_order),
+		cmocka_unit_test(packing_keeps_every_count),
+		cmocka_unit_test(malformed_samples_are_refused),
+		cmocka_unit_test(quantile_and_slow_share_agree),
+		cmocka_unit_test(only_daemons_that_see_it_fail_are_counted),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
