--- a/tests/support/health_trace.c
+++ b/tests/support/health_trace.c
@@ -32,9 +32,21 @@
 	uint64_t fingerprint;
 };
 
-static int server_of(const char *word)
+/* The word at @i, or an empty one. */
+static const char *word(const struct line *l, size_t i)
 {
-	return word[0] == 's' ? atoi(word + 1) : -1;
+	return i < l->n && l->word[i] ? l->word[i] : "";
+}
+
+static double number(const struct line *l, size_t i)
+{
+	return atof(word(l, i));
+}
+
+/* The number in a name such as "s3" or "d0". */
+static int index_of(const struct line *l, size_t i)
+{
+	return *word(l, i) ? atoi(word(l, i) + 1) : 0;
 }
 
 static void set_key(struct sim *s, const char *key, const char *value)
@@ -101,9 +113,9 @@
 
 static void act_on_server(struct sim *s, const struct line *l)
 {
-	struct sim_server *v = &s->server[server_of(l->word[3])];
-	double a = l->n > 4 ? atof(l->word[4]) : 0;
-	const char *what = l->word[2];
+	struct sim_server *v = &s->server[index_of(l, 3)];
+	double a = number(l, 4);
+	const char *what = word(l, 2);
 
 	if (!g_strcmp0(what, "fail")) {
 		v->fail = a;
@@ -113,8 +125,8 @@
 		v->sick_at = s->now;
 	} else if (!g_strcmp0(what, "flap")) {
 		v->fail = a;
-		v->flap_on_ms = atof(l->word[5]) * 1000;
-		v->flap_off_ms = atof(l->word[6]) * 1000;
+		v->flap_on_ms = number(l, 5) * 1000;
+		v->flap_off_ms = number(l, 6) * 1000;
 		v->sick_at = s->now;
 	} else if (!g_strcmp0(what, "heal")) {
 		v->fail = 0;
@@ -134,12 +146,12 @@
 
 static void act(struct sim *s, const struct line *l)
 {
-	const char *what = l->word[2];
+	const char *what = word(l, 2);
 
 	if (!g_strcmp0(what, "service")) {
-		s->all_fail = atof(l->word[3]);
-		s->all_slow = atof(l->word[4]);
-		s->all_until = s->now + (cg_ms)(atof(l->word[5]) * 1000);
+		s->all_fail = number(l, 3);
+		s->all_slow = number(l, 4);
+		s->all_until = s->now + (cg_ms)(number(l, 5) * 1000);
 	} else if (!g_strcmp0(what, "coordinator")) {
 		sim_new_coordinator(s);
 	} else if (!g_strcmp0(what, "silent")) {
@@ -147,10 +159,9 @@
 	} else if (!g_strcmp0(what, "store_down")) {
 		s->silent = s->owner_lease;
 	} else if (!g_strcmp0(what, "deaf")) {
-		s->daemon[atoi(l->word[3] + 1)].deaf = true;
+		s->daemon[index_of(l, 3)].deaf = true;
 	} else if (!g_strcmp0(what, "partition")) {
-		s->daemon[atoi(l->word[3] + 1)]
-			.partition[server_of(l->word[4])] = true;
+		s->daemon[index_of(l, 3)].partition[index_of(l, 4)] = true;
 	} else {
 		act_on_server(s, l);
 	}
@@ -195,8 +206,8 @@
 	s->latency_ms = 100;
 	s->sigma = 0.4;
 	for (size_t i = 0; i < t->n; i++)
-		if (!g_strcmp0(t->line[i].word[0], "set"))
-			set_key(s, t->line[i].word[1], t->line[i].word[2]);
+		if (!g_strcmp0(word(&t->line[i], 0), "set"))
+			set_key(s, word(&t->line[i], 1), word(&t->line[i], 2));
 	if (without)
 		switch_all_off(s, without);
 	sim_start(s);
@@ -206,9 +217,8 @@
 		for (size_t i = 0; i < t->n; i++) {
 			const struct line *l = &t->line[i];
 
-			if (!g_strcmp0(l->word[0], "at") &&
-			    (cg_ms)(atof(l->word[1]) * 1000) ==
-				    s->now - START_MS)
+			if (!g_strcmp0(word(l, 0), "at") &&
+			    (cg_ms)(number(l, 1) * 1000) == s->now - START_MS)
 				act(s, l);
 		}
 		sim_step(s);
@@ -222,13 +232,13 @@
 	sim_free(s);
 }
 
-/* Checks on one server; @p w holds the server's name and the numbers. */
-static bool check_server(struct run *r, const char *what, char *const *w,
-			 size_t n)
+/* Checks on one server; the name of the check is the word at @at_word. */
+static bool check_server(struct run *r, const struct line *l, size_t at_word)
 {
 	struct sim *s = &r->sim;
-	int i = server_of(w[0]);
-	double a = n > 1 ? atof(w[1]) : 0, b = n > 2 ? atof(w[2]) : 0;
+	const char *what = word(l, at_word);
+	int i = index_of(l, at_word + 1);
+	double a = number(l, at_word + 2), b = number(l, at_word + 3);
 	double at = r->first_ejected[i];
 
 	if (!g_strcmp0(what, "ejected"))
@@ -247,10 +257,11 @@
 	g_error("unknown check %s", what);
 }
 
-static bool check(struct run *r, const char *what, char *const *w, size_t n)
+static bool check(struct run *r, const struct line *l, size_t at_word)
 {
 	struct sim *s = &r->sim;
-	double a = n ? atof(w[0]) : 0, b = n > 1 ? atof(w[1]) : 0;
+	const char *what = word(l, at_word);
+	double a = number(l, at_word + 1), b = number(l, at_word + 2);
 
 	if (!g_strcmp0(what, "floor_held"))
 		return !s->bad_floor_ticks && !s->bad_local_floor_ticks;
@@ -269,7 +280,7 @@
 
 		return f >= a && f <= b;
 	}
-	return check_server(r, what, w, n);
+	return check_server(r, l, at_word);
 }
 
 static void print_run(const struct run *r)
@@ -295,10 +306,10 @@
 {
 	size_t from = without ? 2 : 1;
 
-	if (check(r, l->word[from], &l->word[from + 1], l->n - from - 1))
+	if (check(r, l, from))
 		return 0;
 	printf("%s:%d: %s %s does not hold\n", t->path, l->number,
-	       l->word[from], without ? "without the mechanism" : "");
+	       word(l, from), without ? "without the mechanism" : "");
 	print_run(r);
 	return -1;
 }
@@ -321,23 +332,23 @@
 static void read_lines(struct trace *t, char *text)
 {
 	char *save, *line;
-	int number = 0;
+	int count = 0;
 
 	for (char *p = text; (line = strsep(&p, "\n"));) {
 		struct line *l = &t->line[t->n];
 		char *w;
 
-		number++;
+		count++;
 		line[strcspn(line, "#")] = 0;
-		l->number = number;
+		l->number = count;
 		l->n = 0;
 		for (w = strtok_r(line, " \t", &save); w && l->n < 8;
 		     w = strtok_r(NULL, " \t", &save))
 			l->word[l->n++] = w;
 		if (!l->n)
 			continue;
-		if (!g_strcmp0(l->word[0], "end"))
-			t->end = atof(l->word[1]);
+		if (!g_strcmp0(word(l, 0), "end"))
+			t->end = number(l, 1);
 		if (++t->n == LINES_MAX)
 			g_error("%s: too many lines", t->path);
 	}
@@ -355,13 +366,13 @@
 	read_lines(&t, text);
 	rc = run_twice(&t, NULL, r);
 	for (size_t i = 0; i < t.n; i++)
-		if (!g_strcmp0(t.line[i].word[0], "expect"))
+		if (!g_strcmp0(word(&t.line[i], 0), "expect"))
 			rc |= check_line(&t, &t.line[i], NULL, r);
 	for (size_t i = 0; i < t.n; i++) {
-		if (g_strcmp0(t.line[i].word[0], "without") != 0)
+		if (g_strcmp0(word(&t.line[i], 0), "without") != 0)
 			continue;
-		rc |= run_twice(&t, t.line[i].word[1], r);
-		rc |= check_line(&t, &t.line[i], t.line[i].word[1], r);
+		rc |= run_twice(&t, word(&t.line[i], 1), r);
+		rc |= check_line(&t, &t.line[i], word(&t.line[i], 1), r);
 	}
 	g_free(r);
 	g_free(text);
