--- a/include/internal/peer.h
+++ b/include/internal/peer.h
@@ -64,6 +64,9 @@
 struct cg_peer *cg_peer_new(const char *instance, uint64_t incarnation,
 			    GBytes *secret, const struct sockaddr_in *bind_to);
 
+/** Returns the incarnation that the transport sends. */
+uint64_t cg_peer_incarnation(const struct cg_peer *p);
+
 /** Sets the handler of all kinds; call before cg_peer_start. */
 void cg_peer_set_handler(struct cg_peer *p, cg_peer_handler fn, void *arg);
 
--- a/src/rpc/gen/rate_wire.h
+++ b/src/rpc/gen/rate_wire.h
@@ -14,7 +14,8 @@
 #endif
 
 #define CG_X_RATE_NAME 63
-#define CG_X_RATE_ITEMS 128
+#define CG_X_RATE_ITEMS 48
+#define CG_X_RATE_PAGE 18
 
 struct cg_x_rate_share {
 	quad_t right;
--- a/src/rpc/gen/rate_wire_xdr.c
+++ b/src/rpc/gen/rate_wire_xdr.c
@@ -383,10 +383,10 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->active_ms))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->pools.pools_val, (u_int *) &objp->pools.pools_len, CG_X_RATE_ITEMS,
+	 if (!xdr_array (xdrs, (char **)&objp->pools.pools_val, (u_int *) &objp->pools.pools_len, CG_X_RATE_PAGE,
 		sizeof (cg_x_rate_pool), (xdrproc_t) xdr_cg_x_rate_pool))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->records.records_val, (u_int *) &objp->records.records_len, CG_X_RATE_ITEMS,
+	 if (!xdr_array (xdrs, (char **)&objp->records.records_val, (u_int *) &objp->records.records_len, CG_X_RATE_PAGE,
 		sizeof (cg_x_rate_record), (xdrproc_t) xdr_cg_x_rate_record))
 		 return FALSE;
 	return TRUE;
--- a/src/rpc/peer.c
+++ b/src/rpc/peer.c
@@ -346,6 +346,11 @@
 	return NULL;
 }
 
+uint64_t cg_peer_incarnation(const struct cg_peer *p)
+{
+	return p->incarnation;
+}
+
 void cg_peer_set_handler(struct cg_peer *p, cg_peer_handler fn, void *arg)
 {
 	p->handler = fn;
--- a/src/rpc/rate_wire.x
+++ b/src/rpc/rate_wire.x
@@ -1,7 +1,9 @@
 /* CG_MSG_RATE_ASK, CG_MSG_RATE_RETURN: several accounts of one coordinator.
  * CG_MSG_RATE_SURVEY and CG_MSG_SHARD_HANDOVER: one shard. */
 const CG_X_RATE_NAME = 63;
-const CG_X_RATE_ITEMS = 128;
+/* Bounds a message below CG_X_BODY with the longest names. */
+const CG_X_RATE_ITEMS = 48;
+const CG_X_RATE_PAGE = 18;
 
 struct cg_x_rate_share {
 	hyper right;
@@ -123,8 +125,8 @@
 	unsigned int page;
 	unsigned int pages;
 	hyper active_ms;
-	cg_x_rate_pool pools<CG_X_RATE_ITEMS>;
-	cg_x_rate_record records<CG_X_RATE_ITEMS>;
+	cg_x_rate_pool pools<CG_X_RATE_PAGE>;
+	cg_x_rate_record records<CG_X_RATE_PAGE>;
 };
 
 struct cg_x_rate_handed {
--- a/tests/support/rate_fleet.c
+++ b/tests/support/rate_fleet.c
@@ -4,6 +4,8 @@
 
 #include "celeryglade/rate_policy.h"
 
+/* A coordinator that did not answer three asks is left alone for a while. */
+#define FAILURES    3
 #define SILENT_MS   200
 #define FRAME_ASK   112 /* Envelope and the part before the items. */
 #define FRAME_REPLY 68
@@ -114,11 +116,22 @@
 	return e->h.session && e->h.bucket.have.cap > 0 ? 1 : 2;
 }
 
+static void push_timeout(struct rr_fleet *f, int d, int account, cg_ms after)
+{
+	struct rr_msg *t = g_new0(struct rr_msg, 1);
+
+	t->type = RR_TIMEOUT;
+	t->at = f->now + after;
+	t->to = d;
+	t->to_incarnation = daemon_of(f, d)->incarnation;
+	t->account = account;
+	rr_push(f, t);
+}
+
 void rr_arrive(struct rr_fleet *f, int d, int account)
 {
 	struct rr_daemon *m = daemon_of(f, d);
 	struct rr_entry *e;
-	struct rr_msg *t;
 
 	/* What reaches a dead daemon fails without celeryglade. */
 	if (!m->alive)
@@ -152,13 +165,8 @@
 	}
 	if (!e->waiting)
 		return;
-	t = g_new0(struct rr_msg, 1);
-	t->type = RR_TIMEOUT;
-	t->at = f->now + f->trace->wait;
-	t->to = d;
-	t->to_incarnation = m->incarnation;
-	t->account = account;
-	rr_push(f, t);
+	push_timeout(f, d, account, f->trace->wait / 2);
+	push_timeout(f, d, account, f->trace->wait);
 }
 
 void rr_timeout(struct rr_fleet *f, int d, int account)
@@ -167,9 +175,13 @@
 	int to = daemon_of(f, d)->owner[rr_shard(account)].daemon;
 
 	rr_touch(f, account);
-	if (e->in_flight && f->now - e->flight_at >= f->trace->wait) {
+	if (e->in_flight && f->now - e->flight_at >= f->trace->wait / 2) {
 		e->in_flight = false;
-		if (to >= 0)
+		/* The ask or its answer may be lost: once more. */
+		if (e->waiting && f->now < e->wait_until &&
+		    send_ask(f, d, account, false))
+			return;
+		if (to >= 0 && ++daemon_of(f, d)->failures[to] >= FAILURES)
 			daemon_of(f, d)->silent_until[to] = f->now + SILENT_MS;
 	}
 	if (!e->waiting || f->now < e->wait_until)
@@ -287,6 +299,7 @@
 	struct rr_entry *e = rr_entry(f, m->to, m->account);
 
 	daemon_of(f, m->to)->silent_until[m->from] = 0;
+	daemon_of(f, m->to)->failures[m->from] = 0;
 	rr_touch(f, m->account);
 	/* Without numbers the holder cannot tell a doubled grant. */
 	if (f->brk == RR_NO_NUMBERS && m->answer.session == e->h.session &&
@@ -337,12 +350,11 @@
 		return;
 	for (int s = 0; s < f->n; s++) {
 		const char *name = f->daemons[s].name;
+		bool silent = f->brk == RR_NO_PROOF && s != d &&
+			      f->now - m->heard_at[s] > 3000;
 		struct cg_rate_party who;
 
-		if (m->view[s] == RR_VIEW_GONE)
-			cg_rate_ledger_gone(l, f->now, name, 0);
-		else if (f->brk == RR_NO_PROOF && s != d &&
-			 f->now - m->heard_at[s] > 3000)
+		if (m->view[s] == RR_VIEW_GONE || silent)
 			cg_rate_ledger_gone(l, f->now, name, 0);
 		if (m->seen[s] < f->daemons[s].incarnation) {
 			rr_party(f, s, &who);
--- a/tests/support/rate_fleet.h
+++ b/tests/support/rate_fleet.h
@@ -75,6 +75,7 @@
 	uint8_t view[RR_MAX_DAEMONS];
 	uint64_t seen[RR_MAX_DAEMONS]; /**< Incarnations. */
 	cg_ms silent_until[RR_MAX_DAEMONS];
+	uint8_t failures[RR_MAX_DAEMONS];
 	cg_ms heard_at[RR_MAX_DAEMONS];
 	cg_ms batched_at[RR_MAX_DAEMONS];
 	uint64_t bytes;
@@ -86,7 +87,8 @@
 	enum rr_break brk;
 	bool check;
 	cg_ms now;
-	uint64_t rng;
+	uint64_t rng; /**< Of the network. */
+	uint64_t traffic_rng; /**< So that all runs see the same arrivals. */
 	uint64_t order;
 	GPtrArray *heap;
 	struct rr_daemon *daemons;
@@ -106,7 +108,6 @@
 void rr_push(struct rr_fleet *f, struct rr_msg *m);
 struct rr_msg *rr_pop(struct rr_fleet *f);
 uint64_t rr_random(struct rr_fleet *f, uint64_t below);
-double rr_uniform(struct rr_fleet *f);
 void rr_touch(struct rr_fleet *f, int account);
 void rr_party(const struct rr_fleet *f, int d, struct cg_rate_party *out);
 int rr_shard(int account);
--- a/tests/support/rate_owner.c
+++ b/tests/support/rate_owner.c
@@ -252,6 +252,7 @@
 	f->limits_until[e->a] = f->now + CONFIRM_MS;
 	t->rate = e->b * 1000;
 	t->burst = e->c * 1000;
+	cg_rate_bucket_resize(&f->ideal[e->a], f->now, t->rate, t->burst);
 	for (int d = 0; d < f->n; d++) {
 		struct cg_rate_ledger *l =
 			f->daemons[d].ledgers[rr_shard((int)e->a)];
--- a/tests/support/rate_replay.c
+++ b/tests/support/rate_replay.c
@@ -51,15 +51,20 @@
 	return top;
 }
 
+static uint64_t draw(uint64_t *rng, uint64_t below)
+{
+	*rng = *rng * 6364136223846793005U + 1442695040888963407U;
+	return below ? (*rng >> 33) % below : 0;
+}
+
 uint64_t rr_random(struct rr_fleet *f, uint64_t below)
 {
-	f->rng = f->rng * 6364136223846793005U + 1442695040888963407U;
-	return below ? (f->rng >> 33) % below : 0;
+	return draw(&f->rng, below);
 }
 
-double rr_uniform(struct rr_fleet *f)
+static double uniform(struct rr_fleet *f)
 {
-	return ((double)rr_random(f, 1U << 30) + 0.5) / (1U << 30);
+	return ((double)draw(&f->traffic_rng, 1U << 30) + 0.5) / (1U << 30);
 }
 
 void rr_touch(struct rr_fleet *f, int account)
@@ -143,10 +148,10 @@
 	double sum = 0, at;
 
 	if (t->zipf <= 0)
-		return t->first + (int)rr_random(f, (uint64_t)n);
+		return t->first + (int)draw(&f->traffic_rng, (uint64_t)n);
 	for (int i = 0; i < n; i++)
 		sum += weight(t, i);
-	at = rr_uniform(f) * sum;
+	at = uniform(f) * sum;
 	for (int i = 0; i < n; i++) {
 		at -= weight(t, i);
 		if (at <= 0)
@@ -162,7 +167,7 @@
 	struct rr_msg *m;
 
 	/* Kept with its fraction of a millisecond. */
-	f->next_at[traffic] += -log(rr_uniform(f)) * 1000 / t->per_second;
+	f->next_at[traffic] += -log(uniform(f)) * 1000 / t->per_second;
 	if (f->next_at[traffic] >= (double)t->to)
 		return;
 	m = g_new0(struct rr_msg, 1);
@@ -185,8 +190,9 @@
 		return;
 	}
 	if (t->last_account > account)
-		account += (int)rr_random(
-			f, (uint64_t)(t->last_account - account + 1));
+		account += (int)draw(&f->traffic_rng,
+				     (uint64_t)t->last_account -
+					     (uint64_t)account + 1);
 	d = pick_daemon(f, t);
 	next_arrival(f, m->account);
 	if (f->daemons[d].frozen) {
@@ -329,6 +335,7 @@
 	f->trace = t;
 	f->n = t->daemons;
 	f->rng = t->seed;
+	f->traffic_rng = t->seed * 31 + 7;
 	f->next_epoch = 1;
 	f->out = out;
 	f->heap = g_ptr_array_new();
