Tell the version in force truthfully after a failed apply

Cause: a trial against the platform stand-in with reads that stay old printed the old version as the one in force after a conflict.

Ruled out: reading on until a new version shows up. The stand-in's reads stay old without end, and the outcome (nothing changed) is settled by the conflict.

Change: after a conflict or a lost response that could not be read back the version in force is reported as not known; "unchanged" no longer prints counts of parts.

--- a/include/internal/publish.h
+++ b/include/internal/publish.h
@@ -22,7 +22,7 @@
 struct cg_publication {
 	uint64_t version; /**< Of the root written or in force. */
 	char write_id[CG_WRITE_ID_SIZE];
-	uint64_t in_force; /**< Version found at the end, 0 if not read. */
+	uint64_t in_force; /**< Version at the end, 0 if not known. */
 	size_t parts; /**< In the new root. */
 	size_t parts_written; /**< Of them, not in the root before. */
 };
--- a/src/config/publish.c
+++ b/src/config/publish.c
@@ -269,6 +269,9 @@
 		if (settle(a, out, &result))
 			return result;
 	}
+	/* What was read at first is not in force, or may not be. */
+	if (a->unknown || conflict)
+		out->in_force = 0;
 	if (a->unknown)
 		return CG_PUBLISH_UNKNOWN;
 	return conflict ? CG_PUBLISH_LOST_RACE : CG_PUBLISH_UNAVAILABLE;
--- a/src/ctl/folder_cmds.c
+++ b/src/ctl/folder_cmds.c
@@ -103,9 +103,15 @@
 	struct json_object *out;
 
 	if (!o->json) {
-		printf("%s: version %" G_GUINT64_FORMAT
-		       ", %zu of %zu parts written\n",
-		       results[r].text, p->version, p->parts_written, p->parts);
+		if (r == CG_PUBLISH_WRITTEN)
+			printf("written: version %" G_GUINT64_FORMAT
+			       ", %zu of %zu parts written\n",
+			       p->version, p->parts_written, p->parts);
+		else if (p->in_force)
+			printf("%s (version in force: %" G_GUINT64_FORMAT ")\n",
+			       results[r].text, p->in_force);
+		else
+			printf("%s\n", results[r].text);
 		return;
 	}
 	out = json_object_new_object();
--- a/tests/test_publish.c
+++ b/tests/test_publish.c
@@ -457,6 +457,7 @@
 	for (int i = 1; i < MAX_SCRIPT; i++)
 		s->root_writes[i] = CONFLICT;
 	assert_int_equal(publish(s, 3, &p), CG_PUBLISH_LOST_RACE);
+	assert_int_equal(p.in_force, 0);
 	assert_in_force(s, 1, 2);
 }
 
