Rates policy: a small holder keeps its demand beside an overloading one

One failure was a fault: with demands above the rate, a small holder got less than its demand. Change: the reduction for small buckets applies only while all demands fit.

--- a/src/control/rate_policy.c
+++ b/src/control/rate_policy.c
@@ -39,24 +39,18 @@
 	return demand > 0 ? (int64_t)sqrt((double)demand * CG_RATE_ONE) : 0;
 }
 
-static int64_t find_right(const struct cg_rate_demands *d, int64_t mine,
-			  int64_t rights)
+/* The right if all demands fit into @p rights. The pool keeps what holders need
+ * beyond their mean; a right that one of many small buckets does not use is
+ * lost. */
+static int64_t share_spare(const struct cg_rate_demands *d, int64_t mine,
+			   int64_t sum, int64_t rights)
 {
-	int64_t sum = 0, noise = 0, most, right;
+	int64_t most = CG_RATE_SPARE_FACTOR * mine;
+	int64_t noise = 0, right;
 
-	for (size_t i = 0; i < d->n; i++) {
-		sum += d->of[i];
+	for (size_t i = 0; i < d->n; i++)
 		noise += spread(d->of[i]);
-	}
-	if (sum > rights) {
-		int64_t level = cg_rate_policy_level(d->of, d->n, rights);
-
-		return mine < level ? mine : level;
-	}
-	/* The pool keeps what holders need beyond their mean; a right that
-	 * one of many small buckets does not use is lost. */
 	right = cg_rate_part(rights - noise, mine, sum);
-	most = CG_RATE_SPARE_FACTOR * mine;
 	return right < most ? right : most;
 }
 
@@ -81,13 +75,25 @@
 	int64_t caps =
 		d->burst - d->burst / CG_RATE_RESERVE_PART - d->fixed_cap;
 
+	int64_t sum = 0;
+
 	*out = (struct cg_rate_share){ 0 };
 	if (mine < threshold || rights <= 0 || caps < CG_RATE_ONE)
 		return;
-	out->right = find_right(d, mine, rights);
+	for (size_t i = 0; i < d->n; i++)
+		sum += d->of[i];
+	if (sum > rights) {
+		int64_t level = cg_rate_policy_level(d->of, d->n, rights);
+
+		out->right = mine < level ? mine : level;
+	} else {
+		out->right = share_spare(d, mine, sum, rights);
+	}
 	out->cap = find_cap(mine, out->right, rights, caps);
-	/* A small bucket overflows often, unless less flows in than out. */
-	if (out->cap < CG_RATE_SMALL_CAP && out->right > mine - spread(mine))
+	/* A small bucket overflows often, unless less flows in than out. With
+	 * too little for all, the pool could not make up for it. */
+	if (sum <= rights && out->cap < CG_RATE_SMALL_CAP &&
+	    out->right > mine - spread(mine))
 		out->right = mine - spread(mine);
 	/* A bucket that cannot keep one whole request never admits any. */
 	if (out->cap < CG_RATE_ONE || out->right <= 0)
