Add the health controller and the choice of a server

Change: src/control/health_*.c with the wire format health_wire.x; per-server counters without locks, verdicts read through RCU; survey of the verdicts in force by a new coordinator; src/request/{balance,subset,limit}.c.

Ruled out: an interval of the digests that depends on what was seen (digests with failures would arrive earlier than those without and bias the pooled ratio); a resizable hash table (its worker thread only serves resizing). Found on the way: cg_ms arithmetic with the most negative value overflowed and no digest was sent; comparisons are now written without that difference.

--- a/include/internal/health.h
+++ b/include/internal/health.h
@@ -5,7 +5,10 @@
 #ifndef CELERYGLADE_INTERNAL_HEALTH_H
 #define CELERYGLADE_INTERNAL_HEALTH_H
 
+#include <json-c/json.h>
+
 #include "internal/docs.h"
+#include "internal/notices.h"
 #include "internal/shards.h"
 
 /** What one attempt showed about its server. */
@@ -19,14 +22,24 @@
 
 struct cg_health;
 
+/** References stay with the caller and must outlive the result. */
 struct cg_health *cg_health_new(const struct cg_settings *s,
 				struct cg_clock *clk, struct cg_peer *peer,
 				struct cg_members *members,
-				struct cg_shards *shards, struct cg_docs *docs);
+				struct cg_shards *shards, struct cg_docs *docs,
+				struct cg_notices *notices);
 int cg_health_start(struct cg_health *h);
+/** Stops the thread and waits for calls under way; the peer transport must
+ * still run or have been freed, so that they end. */
 void cg_health_stop(struct cg_health *h);
 void cg_health_free(struct cg_health *h);
 
+/** Does the work of one second; for tests, instead of cg_health_start. */
+void cg_health_tick(struct cg_health *h);
+
+/** Whether no call to another daemon is under way; for tests. */
+bool cg_health_idle(struct cg_health *h);
+
 /** Handles HEALTH_DIGEST and GET_VERDICTS. */
 int cg_health_handle(struct cg_health *h, const struct cg_peer_msg *msg,
 		     GByteArray *reply);
@@ -46,4 +59,27 @@
 unsigned int cg_health_weight(struct cg_health *h, const struct cg_server *srv,
 			      bool idempotent);
 
+/** What the choice of a server needs to know. */
+struct cg_health_view {
+	unsigned int weight; /**< As cg_health_weight. */
+	bool draining; /**< Must get no new work at all. */
+	/** Order in which servers without weight are used if no other server
+	 * is left; the lowest first. */
+	unsigned int badness;
+};
+
+void cg_health_view(struct cg_health *h, const struct cg_server *srv,
+		    bool idempotent, struct cg_health_view *out);
+
+/** State of one service, or of all with NULL. The caller owns the result; NULL
+ * if the service is unknown. */
+struct json_object *cg_health_status(struct cg_health *h, const char *service);
+
+/** Why a server gets the load that it gets. The caller owns the result; NULL if
+ * the server is unknown. */
+struct json_object *cg_health_explain(struct cg_health *h, const char *server);
+
+/** Bytes of memory held. */
+size_t cg_health_memory(struct cg_health *h);
+
 #endif
--- /dev/null
+++ b/src/control/health.c
@@ -0,0 +1,349 @@
+#define CG_PART "health"
+#include "health_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "celeryglade/counters.h"
+#include "internal/logging.h"
+
+/* A service without traffic for this time has no local evidence to evaluate,
+ * unless a server is avoided. */
+#define ACTIVE_MS 60000
+/* Fixed, since resizing would need a thread of liburcu: half full at the target
+ * of 7,100 servers, 128 KB. */
+#define SERVER_BUCKETS 16384
+
+static void wake(struct cg_health *h)
+{
+	pthread_mutex_lock(&h->wake_lock);
+	pthread_cond_broadcast(&h->wake);
+	pthread_mutex_unlock(&h->wake_lock);
+}
+
+static void on_document(void *arg, enum cg_doc doc, uint64_t version,
+			GBytes *content)
+{
+	wake(arg);
+}
+
+struct cg_health *cg_health_new(const struct cg_settings *s,
+				struct cg_clock *clk, struct cg_peer *peer,
+				struct cg_members *members,
+				struct cg_shards *shards, struct cg_docs *docs,
+				struct cg_notices *notices)
+{
+	struct cg_health *h = g_new0(struct cg_health, 1);
+	pthread_condattr_t attr;
+
+	h->settings = s;
+	h->clk = clk;
+	h->peer = peer;
+	h->members = members;
+	h->shards = shards;
+	h->docs = docs;
+	h->notices = notices;
+	h->servers =
+		cds_lfht_new_flavor(SERVER_BUCKETS, SERVER_BUCKETS,
+				    SERVER_BUCKETS, 0, &urcu_bp_flavor, NULL);
+	h->services = g_hash_table_new(g_str_hash, g_str_equal);
+	pthread_rwlock_init(&h->table, NULL);
+	pthread_mutex_init(&h->wake_lock, NULL);
+	pthread_condattr_init(&attr);
+	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
+	pthread_cond_init(&h->wake, &attr);
+	pthread_condattr_destroy(&attr);
+	cg_docs_add_listener(docs, on_document, h);
+	return h;
+}
+
+int health_call(struct cg_health *h, const struct sockaddr_in *to,
+		enum cg_msg_kind kind, GByteArray *body, cg_peer_done done,
+		void *arg)
+{
+	pthread_mutex_lock(&h->wake_lock);
+	h->calls++;
+	pthread_mutex_unlock(&h->wake_lock);
+	if (!cg_peer_submit(h->peer, to, kind, body->data, body->len,
+			    CALL_TIMEOUT_MS, done, arg))
+		return 0;
+	health_call_done(h);
+	return -1;
+}
+
+void health_call_done(struct cg_health *h)
+{
+	pthread_mutex_lock(&h->wake_lock);
+	h->calls--;
+	pthread_cond_broadcast(&h->wake);
+	pthread_mutex_unlock(&h->wake_lock);
+}
+
+bool cg_health_idle(struct cg_health *h)
+{
+	bool idle;
+
+	pthread_mutex_lock(&h->wake_lock);
+	idle = !h->calls;
+	pthread_mutex_unlock(&h->wake_lock);
+	return idle;
+}
+
+/* A drain that ends is followed by a warm-up: the notice ends when the list
+ * shows a new start of the server. */
+static void follow_drain(struct cg_health *h, struct health_service *svc,
+			 struct health_server *s, cg_ms now)
+{
+	bool noticed = cg_notices_is_draining(h->notices, s->name);
+
+	if (noticed) {
+		s->leaving = true;
+		atomic_store(&s->draining, true);
+	} else if (s->leaving) {
+		s->leaving = false;
+		s->cold_from = now;
+		s->cold_until = now + svc->ramp_ms;
+		atomic_store(&s->draining, false);
+	} else if (atomic_load(&s->draining)) {
+		/* The server said so itself; the notice is spread now. */
+		cg_notices_drain(h->notices, s->name);
+		s->leaving = true;
+	}
+}
+
+/* Moves the request path's counts of one server; returns how many. */
+static uint32_t collect_server(struct health_service *svc,
+			       struct health_server *s, uint32_t self,
+			       cg_ms now)
+{
+	struct cg_sample x = { 0 };
+	uint32_t n;
+
+	if (!atomic_exchange(&s->touched, 0))
+		return 0;
+	for (int i = 0; i < CG_LATENCY_BUCKETS; i++)
+		if (atomic_load_explicit(&s->count[i], memory_order_relaxed))
+			x.answered[i] = atomic_exchange(&s->count[i], 0);
+	x.failed = atomic_exchange(&s->count[COUNT_FAILED], 0);
+	x.shed = atomic_exchange(&s->count[COUNT_SHED], 0);
+	n = x.failed + x.shed + cg_sample_answered(&x);
+	/* Discarded here rather than by the coordinator, which may receive the
+	 * digest after the drain or the warm-up has ended. */
+	if (s->leaving || now < s->cold_until + COLD_MARGIN_MS)
+		return n;
+	cg_ejection_observe(svc->local, self, s->id, &x, now);
+	cg_sample_add(&s->unsent, &x);
+	return n;
+}
+
+static bool collect(struct cg_health *h, struct health_service *svc, cg_ms now)
+{
+	uint32_t self, n = 0;
+
+	cg_ejection_report(svc->local, h->settings->instance, 1,
+			   h->settings->failure_domain, ++svc->local_sequence,
+			   now, &self);
+	for (size_t i = 0; i < svc->n; i++) {
+		follow_drain(h, svc, svc->servers[i], now);
+		n += collect_server(svc, svc->servers[i], self, now);
+	}
+	svc->unsent += n;
+	if (n)
+		svc->traffic_at = now;
+	return n > 0;
+}
+
+static void local_tick(struct health_service *svc, cg_ms now)
+{
+	struct cg_ejection_capacity c;
+
+	if (now - ACTIVE_MS > svc->traffic_at &&
+	    !cg_ejection_watching(svc->local))
+		return;
+	cg_ejection_tick(svc->local, now);
+	cg_ejection_capacity(svc->local, now, &c);
+	if (c.ejections > svc->counted_local)
+		cg_count_add(CG_COUNTER_LOCAL_AVOIDANCES,
+			     c.ejections - svc->counted_local);
+	svc->counted_local = c.ejections;
+}
+
+static bool tick_service(struct cg_health *h, struct health_service *svc,
+			 struct digest_batches *b, cg_ms now)
+{
+	bool active;
+
+	pthread_mutex_lock(&svc->lock);
+	active = collect(h, svc, now);
+	coordinator_tick(h, svc, now);
+	digest_service(b, svc, now);
+	health_publish(h, svc, now);
+	local_tick(svc, now);
+	health_publish(h, svc, now);
+	pthread_mutex_unlock(&svc->lock);
+	return active || svc->unsent;
+}
+
+void cg_health_tick(struct cg_health *h)
+{
+	cg_ms now = cg_clock_now(h->clk);
+	struct digest_batches *b;
+	uint32_t active = 0;
+	GHashTableIter it;
+	gpointer v;
+
+	health_sync_config(h, now);
+	b = digest_begin(h);
+	pthread_rwlock_rdlock(&h->table);
+	g_hash_table_iter_init(&it, h->services);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		active += tick_service(h, v, b, now);
+	digest_end(b);
+	pthread_rwlock_unlock(&h->table);
+	h->active_services = active;
+}
+
+/* Waits for the next tick; a new configuration is applied at once. */
+static bool wait_tick(struct cg_health *h)
+{
+	struct timespec until;
+	bool stop;
+	int rc = 0;
+
+	clock_gettime(CLOCK_MONOTONIC, &until);
+	until.tv_sec += HEALTH_TICK_MS / 1000;
+	pthread_mutex_lock(&h->wake_lock);
+	while (!h->stopping && !rc) {
+		rc = pthread_cond_timedwait(&h->wake, &h->wake_lock, &until);
+		if (!rc && !h->stopping) {
+			pthread_mutex_unlock(&h->wake_lock);
+			health_sync_config(h, cg_clock_now(h->clk));
+			pthread_mutex_lock(&h->wake_lock);
+		}
+	}
+	stop = h->stopping;
+	pthread_mutex_unlock(&h->wake_lock);
+	return !stop;
+}
+
+static void *run(void *arg)
+{
+	struct cg_health *h = arg;
+
+	do {
+		cg_health_tick(h);
+	} while (wait_tick(h));
+	return NULL;
+}
+
+int cg_health_start(struct cg_health *h)
+{
+	if (pthread_create(&h->thread, NULL, run, h))
+		return -1;
+	h->running = true;
+	return 0;
+}
+
+void cg_health_stop(struct cg_health *h)
+{
+	pthread_mutex_lock(&h->wake_lock);
+	h->stopping = true;
+	pthread_cond_broadcast(&h->wake);
+	pthread_mutex_unlock(&h->wake_lock);
+	if (h->running)
+		pthread_join(h->thread, NULL);
+	h->running = false;
+	pthread_mutex_lock(&h->wake_lock);
+	while (h->calls)
+		pthread_cond_wait(&h->wake, &h->wake_lock);
+	pthread_mutex_unlock(&h->wake_lock);
+}
+
+void cg_health_free(struct cg_health *h)
+{
+	if (!h)
+		return;
+	health_free_services(h);
+	cds_lfht_destroy(h->servers, NULL);
+	g_hash_table_unref(h->services);
+	pthread_rwlock_destroy(&h->table);
+	pthread_mutex_destroy(&h->wake_lock);
+	pthread_cond_destroy(&h->wake);
+	g_free(h);
+}
+
+static unsigned int counter_of(enum cg_observation o, cg_ms latency)
+{
+	switch (o) {
+	case CG_OBSERVED_OK:
+		return cg_latency_bucket(latency);
+	case CG_OBSERVED_FAILED:
+	case CG_OBSERVED_TIMEOUT:
+	case CG_OBSERVED_CONNECT_FAILED:
+		return COUNT_FAILED;
+	case CG_OBSERVED_SHED:
+		return COUNT_SHED;
+	}
+	abort();
+}
+
+void cg_health_observe(struct cg_health *h, const struct cg_server *srv,
+		       enum cg_observation o, cg_ms latency)
+{
+	struct health_server *s;
+
+	urcu_bp_read_lock();
+	s = health_find(h, srv);
+	if (s) {
+		atomic_fetch_add_explicit(&s->count[counter_of(o, latency)], 1,
+					  memory_order_relaxed);
+		/* Release: a collector that sees it sees the count too. */
+		atomic_store_explicit(&s->touched, 1, memory_order_release);
+	}
+	urcu_bp_read_unlock();
+}
+
+void cg_health_draining(struct cg_health *h, const struct cg_server *srv)
+{
+	struct health_server *s;
+	bool first = false;
+
+	urcu_bp_read_lock();
+	s = health_find(h, srv);
+	if (s)
+		first = !atomic_exchange(&s->draining, true);
+	urcu_bp_read_unlock();
+	if (first)
+		cg_notices_drain(h->notices, srv->name);
+}
+
+void cg_health_view(struct cg_health *h, const struct cg_server *srv,
+		    bool idempotent, struct cg_health_view *out)
+{
+	const struct health_server *s;
+
+	*out = (struct cg_health_view){ .weight = 1000 };
+	urcu_bp_read_lock();
+	s = health_find(h, srv);
+	if (s) {
+		out->draining = atomic_load_explicit(&s->draining,
+						     memory_order_relaxed);
+		out->weight = atomic_load_explicit(
+			idempotent ? &s->weight_idempotent : &s->weight_other,
+			memory_order_relaxed);
+		out->badness =
+			atomic_load_explicit(&s->badness, memory_order_relaxed);
+	}
+	urcu_bp_read_unlock();
+	if (out->draining)
+		out->weight = 0;
+}
+
+unsigned int cg_health_weight(struct cg_health *h, const struct cg_server *srv,
+			      bool idempotent)
+{
+	struct cg_health_view v;
+
+	cg_health_view(h, srv, idempotent, &v);
+	return v.weight;
+}
--- /dev/null
+++ b/src/control/health_coordinator.c
@@ -0,0 +1,298 @@
+/* The coordinator of the services whose shard this daemon owns. */
+#define CG_PART "health"
+#include "health_internal.h"
+
+#include <string.h>
+
+#include "celeryglade/counters.h"
+#include "internal/logging.h"
+
+/* Members that did not answer a survey are asked again after this time. */
+#define SURVEY_AGAIN_MS 2000
+/* Questions to members per service and tick; the transport has few threads. */
+#define SURVEY_PER_TICK 64
+
+struct question {
+	struct cg_health *h;
+	char service[CG_NAME_MAX + 1];
+	char member[CG_NAME_MAX + 1];
+	uint64_t epoch;
+};
+
+void health_describe(struct health_service *svc, struct cg_ejection_server *out,
+		     cg_ms now)
+{
+	for (size_t i = 0; i < svc->n; i++) {
+		const struct health_server *s = svc->servers[i];
+
+		g_strlcpy(out[i].name, s->name, sizeof(out[i].name));
+		out[i].slots = s->slots;
+		out[i].leaving = s->leaving;
+		out[i].cold = now < s->cold_until;
+	}
+}
+
+void coordinator_stop(struct health_service *svc)
+{
+	if (svc->coordinator)
+		cg_info("no longer health coordinator of %s", svc->name);
+	cg_ejection_free(svc->coordinator);
+	svc->coordinator = NULL;
+	g_free(svc->fleet_list);
+	svc->fleet_list = NULL;
+	if (svc->survey)
+		g_array_unref(svc->survey);
+	svc->survey = NULL;
+}
+
+static void start_survey(struct cg_health *h, struct health_service *svc)
+{
+	size_t max = cg_members_count(h->members) + 16;
+	struct cg_member *m = g_new(struct cg_member, max);
+	size_t n = cg_members_copy(h->members, m, max);
+
+	svc->survey = g_array_new(FALSE, TRUE, sizeof(struct survey_member));
+	for (size_t i = 0; i < n; i++) {
+		struct survey_member s = { .addr = m[i].addr, .asked_at = -1 };
+
+		g_strlcpy(s.name, m[i].name, sizeof(s.name));
+		g_array_append_val(svc->survey, s);
+	}
+	g_free(m);
+}
+
+static void learn_own(struct health_service *svc, cg_ms now)
+{
+	if (now >= svc->held.until)
+		return;
+	for (size_t i = 0; i < svc->held.n; i++)
+		cg_ejection_learn(svc->coordinator, &svc->held.list[i], now);
+}
+
+static void coordinator_start(struct cg_health *h, struct health_service *svc,
+			      uint64_t epoch, cg_ms now)
+{
+	struct cg_ejection_rules r;
+
+	coordinator_stop(svc);
+	cg_info("health coordinator of %s, epoch %" G_GUINT64_FORMAT, svc->name,
+		epoch);
+	cg_ejection_rules_fleet(&r, h->settings->verdict_ttl_ms,
+				h->settings->eject_ms);
+	svc->coordinator = cg_ejection_new(&r, epoch, true, now);
+	svc->least_epoch = MAX(svc->least_epoch, epoch);
+	svc->counted_ejections = 0;
+	svc->counted_floor = 0;
+	svc->counted_evidence = 0;
+	svc->counted_returns = 0;
+	learn_own(svc, now);
+	start_survey(h, svc);
+}
+
+static struct survey_member *surveyed(struct health_service *svc,
+				      const char *name)
+{
+	for (guint i = 0; svc->survey && i < svc->survey->len; i++) {
+		struct survey_member *m =
+			&g_array_index(svc->survey, struct survey_member, i);
+
+		if (!strcmp(m->name, name))
+			return m;
+	}
+	return NULL;
+}
+
+static void learn(struct health_service *svc, const cg_x_verdicts_reply *r,
+		  cg_ms now)
+{
+	for (u_int i = 0; i < r->verdicts.verdicts_len; i++) {
+		const cg_x_verdict *x = &r->verdicts.verdicts_val[i];
+		struct cg_verdict v = { .server = x->server,
+					.phase = CG_PHASE_EJECTED,
+					.share = x->share,
+					.level = x->level,
+					.left_ms = x->left_ms };
+
+		if (x->phase == CG_PHASE_TRIAL)
+			v.phase = CG_PHASE_TRIAL;
+		cg_ejection_learn(svc->coordinator, &v, now);
+	}
+}
+
+static void survey_done(void *arg, int rc, const GByteArray *reply)
+{
+	struct question *q = arg;
+	struct cg_health *h = q->h;
+	struct health_service *svc;
+	struct survey_member *m;
+	cg_x_verdicts_reply r;
+
+	if (rc || cg_xdr_decode((xdrproc_t)xdr_cg_x_verdicts_reply, reply->data,
+				reply->len, &r, sizeof(r)))
+		goto out;
+	pthread_rwlock_rdlock(&h->table);
+	svc = g_hash_table_lookup(h->services, q->service);
+	if (svc) {
+		pthread_mutex_lock(&svc->lock);
+		m = surveyed(svc, q->member);
+		if (svc->coordinator && m &&
+		    cg_ejection_epoch(svc->coordinator) == q->epoch) {
+			learn(svc, &r, cg_clock_now(h->clk));
+			m->answered = true;
+		}
+		pthread_mutex_unlock(&svc->lock);
+	}
+	pthread_rwlock_unlock(&h->table);
+	xdr_free((xdrproc_t)xdr_cg_x_verdicts_reply, (char *)&r);
+out:
+	g_free(q);
+	health_call_done(h);
+}
+
+static void ask_member(struct cg_health *h, struct health_service *svc,
+		       const struct survey_member *m)
+{
+	cg_x_verdicts_request x = {
+		.service = svc->name,
+		.failure_domain = (char *)h->settings->failure_domain,
+		.epoch = cg_ejection_epoch(svc->coordinator),
+		.survey = TRUE,
+	};
+	struct question *q = g_new0(struct question, 1);
+	GByteArray *body = g_byte_array_new();
+
+	q->h = h;
+	q->epoch = x.epoch;
+	g_strlcpy(q->service, svc->name, sizeof(q->service));
+	g_strlcpy(q->member, m->name, sizeof(q->member));
+	cg_xdr_encode((xdrproc_t)xdr_cg_x_verdicts_request, &x, body);
+	if (health_call(h, &m->addr, CG_MSG_GET_VERDICTS, body, survey_done, q))
+		g_free(q);
+	g_byte_array_unref(body);
+}
+
+static void survey_tick(struct cg_health *h, struct health_service *svc,
+			cg_ms now)
+{
+	unsigned int asked = 0, open = 0;
+
+	if (!svc->survey)
+		return;
+	for (guint i = 0; i < svc->survey->len; i++) {
+		struct survey_member *m =
+			&g_array_index(svc->survey, struct survey_member, i);
+		struct cg_member known;
+
+		if (m->answered)
+			continue;
+		/* A member that is gone applies no verdict. */
+		if (cg_members_find(h->members, m->name, &known) ||
+		    known.state == CG_MEMBER_GONE) {
+			m->answered = true;
+			continue;
+		}
+		open++;
+		if (asked >= SURVEY_PER_TICK ||
+		    (m->asked_at >= 0 && now - m->asked_at < SURVEY_AGAIN_MS))
+			continue;
+		m->addr = known.addr;
+		m->asked_at = now;
+		asked++;
+		ask_member(h, svc, m);
+	}
+	if (open && cg_ejection_surveying(svc->coordinator, now))
+		return;
+	cg_info("%s: survey of verdicts ended, %u members did not answer",
+		svc->name, open);
+	cg_ejection_survey_done(svc->coordinator);
+	g_array_unref(svc->survey);
+	svc->survey = NULL;
+}
+
+static void count_rise(enum cg_counter c, uint64_t value, uint64_t *counted)
+{
+	if (value > *counted)
+		cg_count_add(c, value - *counted);
+	*counted = value;
+}
+
+static void count_decisions(struct health_service *svc, cg_ms now)
+{
+	struct cg_ejection_capacity c;
+
+	cg_ejection_capacity(svc->coordinator, now, &c);
+	count_rise(CG_COUNTER_EJECTIONS, c.ejections, &svc->counted_ejections);
+	count_rise(CG_COUNTER_EJECTIONS_DENIED_FLOOR, c.denied_floor,
+		   &svc->counted_floor);
+	count_rise(CG_COUNTER_EJECTIONS_DENIED_EVIDENCE, c.denied_evidence,
+		   &svc->counted_evidence);
+	count_rise(CG_COUNTER_READMISSIONS, c.reinstatements,
+		   &svc->counted_returns);
+}
+
+static void describe_to_fleet(struct health_service *svc, cg_ms now)
+{
+	struct cg_ejection_server *list =
+		g_new0(struct cg_ejection_server, svc->n + 1);
+
+	health_describe(svc, list, now);
+	if (svc->fleet_list &&
+	    !memcmp(svc->fleet_list, list, svc->n * sizeof(*list))) {
+		g_free(list);
+		return;
+	}
+	cg_ejection_set_servers(svc->coordinator, list, svc->n,
+				svc->floor_percent, now);
+	g_free(svc->fleet_list);
+	svc->fleet_list = list;
+}
+
+void coordinator_tick(struct cg_health *h, struct health_service *svc,
+		      cg_ms now)
+{
+	struct cg_shard_owner owner;
+
+	if (cg_shards_owner(h->shards, svc->shard, &owner) || !owner.self) {
+		coordinator_stop(svc);
+		return;
+	}
+	if (!svc->coordinator ||
+	    cg_ejection_epoch(svc->coordinator) != owner.epoch)
+		coordinator_start(h, svc, owner.epoch, now);
+	describe_to_fleet(svc, now);
+	survey_tick(h, svc, now);
+	cg_ejection_tick(svc->coordinator, now);
+	count_decisions(svc, now);
+}
+
+int coordinator_digest(struct cg_health *h, struct health_service *svc,
+		       const char *sender, uint64_t incarnation,
+		       const char *domain, const cg_x_health_service *d,
+		       cg_x_health_answer *a, cg_ms now)
+{
+	struct cg_ejection *e = svc->coordinator;
+	uint32_t reporter;
+	bool repeated;
+
+	if (!e)
+		return -1;
+	repeated = cg_ejection_report(e, sender, incarnation, domain,
+				      d->sequence, now, &reporter) != 0;
+	for (u_int i = 0; !repeated && i < d->servers.servers_len; i++) {
+		const cg_x_health_server *x = &d->servers.servers_val[i];
+		struct cg_sample sample;
+
+		if (!cg_sample_unpack(&sample, (uint8_t *)x->cells.cells_val,
+				      x->cells.cells_len))
+			cg_ejection_observe(e, reporter, x->server, &sample,
+					    now);
+	}
+	a->epoch = cg_ejection_epoch(e);
+	a->verdict_version = cg_ejection_version(e);
+	a->reference_millionths = (u_int)(cg_ejection_reference(e) * 1e6);
+	a->watch = cg_ejection_watching(e);
+	/* The daemon renews exactly these verdicts when it reads the answer. */
+	if (d->epoch == a->epoch && d->verdict_version == a->verdict_version)
+		cg_ejection_holds(e, reporter, a->verdict_version, now);
+	return 0;
+}
--- /dev/null
+++ b/src/control/health_handle.c
@@ -0,0 +1,162 @@
+/* Messages of other daemons: digests and questions for verdicts. */
+#define CG_PART "health"
+#include "health_internal.h"
+
+#include <string.h>
+
+static void answer_service(struct cg_health *h, const struct cg_peer_msg *msg,
+			   const cg_x_health_digest *d,
+			   const cg_x_health_service *x, cg_x_health_reply *r,
+			   cg_ms now)
+{
+	struct health_service *svc =
+		g_hash_table_lookup(h->services, x->service);
+	cg_x_health_answer *a =
+		&r->services.services_val[r->services.services_len];
+
+	if (!svc)
+		return;
+	pthread_mutex_lock(&svc->lock);
+	if (!coordinator_digest(h, svc, msg->sender, msg->incarnation,
+				d->failure_domain, x, a, now)) {
+		a->service = x->service;
+		r->services.services_len++;
+	}
+	pthread_mutex_unlock(&svc->lock);
+}
+
+static int handle_digest(struct cg_health *h, const struct cg_peer_msg *msg,
+			 GByteArray *reply)
+{
+	cg_ms now = cg_clock_now(h->clk);
+	cg_x_health_reply r = { 0 };
+	cg_x_health_digest d;
+	int rc;
+
+	if (cg_xdr_decode((xdrproc_t)xdr_cg_x_health_digest, msg->body,
+			  msg->len, &d, sizeof(d)))
+		return -1;
+	r.services.services_val =
+		g_new0(cg_x_health_answer, d.services.services_len + 1);
+	pthread_rwlock_rdlock(&h->table);
+	for (u_int i = 0; i < d.services.services_len; i++)
+		answer_service(h, msg, &d, &d.services.services_val[i], &r,
+			       now);
+	pthread_rwlock_unlock(&h->table);
+	rc = cg_xdr_encode((xdrproc_t)xdr_cg_x_health_reply, &r, reply);
+	g_free(r.services.services_val);
+	xdr_free((xdrproc_t)xdr_cg_x_health_digest, (char *)&d);
+	return rc;
+}
+
+static void add_verdict(cg_x_verdicts_reply *r, const struct cg_verdict *v)
+{
+	if (r->verdicts.verdicts_len == CG_X_HEALTH_SERVERS)
+		return;
+	r->verdicts.verdicts_val[r->verdicts.verdicts_len++] = (cg_x_verdict){
+		.server = v->server,
+		.phase = v->phase,
+		.share = v->share,
+		.level = v->level,
+		.left_ms = (u_int)v->left_ms,
+		.any_method = v->any_method,
+	};
+}
+
+static void add_coordinated(struct health_service *svc, cg_x_verdicts_reply *r,
+			    cg_ms now)
+{
+	struct cg_verdict list[CG_X_HEALTH_SERVERS];
+	size_t n = cg_ejection_verdicts(svc->coordinator, now, list,
+					G_N_ELEMENTS(list));
+
+	for (size_t i = 0; i < n; i++)
+		add_verdict(r, &list[i]);
+}
+
+/* Answers a new coordinator with everything that is in force here, and believes
+ * no older coordinator from then on: otherwise an ejection that the new one
+ * does not know of could still be adopted. */
+static int answer_survey(struct health_service *svc,
+			 const cg_x_verdicts_request *q, cg_x_verdicts_reply *r,
+			 cg_ms now)
+{
+	if (q->epoch < svc->least_epoch)
+		return -1;
+	svc->least_epoch = q->epoch;
+	if (svc->coordinator &&
+	    cg_ejection_epoch(svc->coordinator) < q->epoch) {
+		add_coordinated(svc, r, now);
+		coordinator_stop(svc);
+	}
+	for (size_t i = 0; now < svc->held.until && i < svc->held.n; i++)
+		add_verdict(r, &svc->held.list[i]);
+	r->epoch = svc->held.epoch;
+	r->verdict_version = svc->held.version;
+	return 0;
+}
+
+static int answer_fetch(struct health_service *svc,
+			const struct cg_peer_msg *msg,
+			const cg_x_verdicts_request *q, cg_x_verdicts_reply *r,
+			cg_ms now)
+{
+	uint32_t reporter;
+
+	if (!svc->coordinator)
+		return -1;
+	add_coordinated(svc, r, now);
+	r->epoch = cg_ejection_epoch(svc->coordinator);
+	r->verdict_version = cg_ejection_version(svc->coordinator);
+	/* Sequence 0 carries no evidence and is never counted. */
+	cg_ejection_report(svc->coordinator, msg->sender, msg->incarnation,
+			   q->failure_domain, 0, now, &reporter);
+	cg_ejection_holds(svc->coordinator, reporter, r->verdict_version, now);
+	return 0;
+}
+
+static int handle_verdicts(struct cg_health *h, const struct cg_peer_msg *msg,
+			   GByteArray *reply)
+{
+	cg_ms now = cg_clock_now(h->clk);
+	cg_x_verdicts_reply r = { 0 };
+	cg_x_verdicts_request q;
+	struct health_service *svc;
+	int rc = -1;
+
+	if (cg_xdr_decode((xdrproc_t)xdr_cg_x_verdicts_request, msg->body,
+			  msg->len, &q, sizeof(q)))
+		return -1;
+	r.verdicts.verdicts_val = g_new0(cg_x_verdict, CG_X_HEALTH_SERVERS);
+	pthread_rwlock_rdlock(&h->table);
+	svc = g_hash_table_lookup(h->services, q.service);
+	if (svc) {
+		pthread_mutex_lock(&svc->lock);
+		rc = q.survey ? answer_survey(svc, &q, &r, now)
+			      : answer_fetch(svc, msg, &q, &r, now);
+		pthread_mutex_unlock(&svc->lock);
+	} else if (q.survey) {
+		/* A service that is not configured here has no verdicts. */
+		rc = 0;
+	}
+	pthread_rwlock_unlock(&h->table);
+	if (!rc)
+		rc = cg_xdr_encode((xdrproc_t)xdr_cg_x_verdicts_reply, &r,
+				   reply);
+	g_free(r.verdicts.verdicts_val);
+	xdr_free((xdrproc_t)xdr_cg_x_verdicts_request, (char *)&q);
+	return rc;
+}
+
+int cg_health_handle(struct cg_health *h, const struct cg_peer_msg *msg,
+		     GByteArray *reply)
+{
+	switch (msg->kind) {
+	case CG_MSG_HEALTH_DIGEST:
+		return handle_digest(h, msg, reply);
+	case CG_MSG_GET_VERDICTS:
+		return handle_verdicts(h, msg, reply);
+	default:
+		return -1;
+	}
+}
--- /dev/null
+++ b/src/request/limit.c
@@ -0,0 +1,32 @@
+#include "celeryglade/limit.h"
+
+#include <math.h>
+
+static double top(uint32_t slots)
+{
+	return slots > 1 ? slots : 1;
+}
+
+void cg_limit_init(struct cg_limit *l, uint32_t slots)
+{
+	l->value = top(slots);
+	l->halved_at = -CG_MS_NEVER;
+}
+
+void cg_limit_answered(struct cg_limit *l, uint32_t slots)
+{
+	l->value = fmin(l->value + 1 / l->value, top(slots));
+}
+
+void cg_limit_shed(struct cg_limit *l, cg_ms started, cg_ms now)
+{
+	if (started < l->halved_at)
+		return;
+	l->value = fmax(l->value / 2, 1);
+	l->halved_at = now;
+}
+
+uint32_t cg_limit_get(const struct cg_limit *l, uint32_t slots)
+{
+	return (uint32_t)fmin(l->value, top(slots));
+}
--- /dev/null
+++ b/src/request/subset.c
@@ -0,0 +1,35 @@
+#include "celeryglade/subset.h"
+
+#include <math.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* The number of daemons that choose a server is nearly Poisson distributed. Four
+ * standard deviations above the mean stay under the limit, so that one server
+ * in some ten thousand goes above it. */
+#define DEVIATIONS 4
+/* Fewer leave no choice when one server is ejected and another at its limit. */
+#define SUBSET_MIN 3
+
+size_t cg_subset_size(size_t daemons, size_t servers, uint32_t connections)
+{
+	double most = (double)connections / CG_SUBSET_CONNECTIONS;
+	double root, mean;
+	size_t k;
+
+	if ((double)daemons <= most || servers <= SUBSET_MIN)
+		return servers;
+	/* The largest mean with mean + DEVIATIONS * sqrt(mean) <= most. */
+	root = (sqrt(DEVIATIONS * DEVIATIONS + 4 * most) - DEVIATIONS) / 2;
+	mean = root * root;
+	k = (size_t)(mean * (double)servers / (double)daemons);
+	if (k < SUBSET_MIN)
+		return SUBSET_MIN;
+	return k < servers ? k : servers;
+}
+
+uint64_t cg_subset_rank(const char *daemon, const char *server)
+{
+	return XXH3_64bits_withSeed(server, strlen(server),
+				    XXH3_64bits(daemon, strlen(daemon)));
+}
--- /dev/null
+++ b/src/rpc/health_wire.x
@@ -0,0 +1,60 @@
+/* CG_MSG_HEALTH_DIGEST and CG_MSG_GET_VERDICTS. Servers are named by
+ * cg_server_id; cells are the pairs of cg_sample_pack. */
+const CG_X_HEALTH_NAME = 63;
+const CG_X_HEALTH_CELLS = 512;
+const CG_X_HEALTH_SERVERS = 512;
+const CG_X_HEALTH_SERVICES = 64;
+
+struct cg_x_health_server {
+	unsigned int server;
+	opaque cells<CG_X_HEALTH_CELLS>;
+};
+
+struct cg_x_health_service {
+	string service<CG_X_HEALTH_NAME>;
+	unsigned hyper sequence;
+	unsigned hyper epoch;
+	unsigned hyper verdict_version;
+	cg_x_health_server servers<CG_X_HEALTH_SERVERS>;
+};
+
+struct cg_x_health_digest {
+	string failure_domain<CG_X_HEALTH_NAME>;
+	cg_x_health_service services<CG_X_HEALTH_SERVICES>;
+};
+
+struct cg_x_health_answer {
+	string service<CG_X_HEALTH_NAME>;
+	unsigned hyper epoch;
+	unsigned hyper verdict_version;
+	unsigned int reference_millionths;
+	bool watch;
+};
+
+struct cg_x_health_reply {
+	cg_x_health_answer services<CG_X_HEALTH_SERVICES>;
+};
+
+/* With survey, a new coordinator of that epoch asks for the verdicts that the
+ * receiver holds; otherwise the receiver must be the coordinator. */
+struct cg_x_verdicts_request {
+	string service<CG_X_HEALTH_NAME>;
+	string failure_domain<CG_X_HEALTH_NAME>;
+	unsigned hyper epoch;
+	bool survey;
+};
+
+struct cg_x_verdict {
+	unsigned int server;
+	unsigned int phase;
+	unsigned int share;
+	unsigned int level;
+	unsigned int left_ms;
+	bool any_method;
+};
+
+struct cg_x_verdicts_reply {
+	unsigned hyper epoch;
+	unsigned hyper verdict_version;
+	cg_x_verdict verdicts<CG_X_HEALTH_SERVERS>;
+};
--- /dev/null
+++ b/tests/test_balance.c
@@ -0,0 +1,333 @@
+/* Guards the choice of a server: places that leak, work for a draining or
+ * excluded server, a refusal while a server that is merely avoided could serve,
+ * and load that runs to a server because it fails fast. The health controller
+ * is a fake with settable weights. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include <glib.h>
+#include <pthread.h>
+#include <string.h>
+
+#include "internal/balance.h"
+
+#define SERVERS 6
+
+/* Fakes. */
+static struct cg_health_view views[SERVERS];
+
+static int number(const struct cg_server *s)
+{
+	return s->name[1] - '0';
+}
+
+void cg_health_view(struct cg_health *h, const struct cg_server *srv,
+		    bool idempotent, struct cg_health_view *out)
+{
+	*out = views[number(srv)];
+	if (!idempotent && out->weight < 1000)
+		out->weight = 0;
+}
+
+struct cg_config {
+	struct cg_service *service;
+};
+
+const struct cg_service *cg_config_service_at(const struct cg_config *c,
+					      size_t i)
+{
+	return i == 0 ? c->service : NULL;
+}
+
+struct fixture {
+	struct cg_balance *b;
+	struct cg_service svc;
+	struct cg_server servers[SERVERS];
+};
+
+static void set_up(struct fixture *f, size_t n)
+{
+	memset(f, 0, sizeof(*f));
+	f->b = cg_balance_new("d1", 7);
+	g_strlcpy(f->svc.name, "slots", sizeof(f->svc.name));
+	f->svc.servers = f->servers;
+	f->svc.server_count = n;
+	for (size_t i = 0; i < SERVERS; i++) {
+		views[i] = (struct cg_health_view){ .weight = 1000 };
+		g_snprintf(f->servers[i].name, 8, "s%zu", i);
+		f->servers[i].slots = 3;
+		f->servers[i].connections = 400;
+		f->servers[i].service = &f->svc;
+	}
+}
+
+static int pick(struct fixture *f, const struct cg_server **s)
+{
+	return cg_balance_pick(f->b, &f->svc, NULL, NULL, 0, true, 1000, s);
+}
+
+/* Runs @p n requests one after another; counts them by server. */
+static void run(struct fixture *f, int n, cg_ms latency, int count[SERVERS])
+{
+	const struct cg_server *s;
+
+	memset(count, 0, SERVERS * sizeof(*count));
+	for (int i = 0; i < n; i++) {
+		assert_int_equal(pick(f, &s), 0);
+		count[number(s)]++;
+		cg_balance_done(f->b, s, CG_OBSERVED_OK, latency, 1000);
+	}
+}
+
+static void places_are_bounded_and_given_back(void **state)
+{
+	const struct cg_server *s[3 * SERVERS + 1];
+	struct cg_balance_server r;
+	struct fixture f;
+
+	set_up(&f, SERVERS);
+	for (int i = 0; i < 3 * SERVERS; i++)
+		assert_int_equal(pick(&f, &s[i]), 0);
+	assert_int_equal(pick(&f, &s[3 * SERVERS]), 1);
+	for (int i = 0; i < SERVERS; i++) {
+		assert_int_equal(cg_balance_read(f.b, &f.servers[i], &r), 0);
+		assert_int_equal(r.running, 3);
+	}
+	for (int i = 0; i < 3 * SERVERS; i++)
+		cg_balance_done(f.b, s[i], CG_OBSERVED_OK, 10, 1000);
+	for (int i = 0; i < SERVERS; i++) {
+		cg_balance_read(f.b, &f.servers[i], &r);
+		assert_int_equal(r.running, 0);
+	}
+	cg_balance_free(f.b);
+}
+
+static void load_is_spread(void **state)
+{
+	int count[SERVERS];
+	struct fixture f;
+
+	set_up(&f, SERVERS);
+	run(&f, 6000, 10, count);
+	for (int i = 0; i < SERVERS; i++)
+		assert_in_range(count[i], 700, 1300);
+	cg_balance_free(f.b);
+}
+
+static void ejected_server_gets_nothing_and_trial_its_share(void **state)
+{
+	int count[SERVERS];
+	struct fixture f;
+
+	set_up(&f, SERVERS);
+	views[0].weight = 0;
+	views[1].weight = 100;
+	run(&f, 10000, 10, count);
+	assert_int_equal(count[0], 0);
+	/* A tenth of an equal share is 200. */
+	assert_in_range(count[1], 50, 500);
+	cg_balance_free(f.b);
+}
+
+static void excluded_server_is_not_tried_again(void **state)
+{
+	const struct cg_server *s;
+	const struct cg_server *exclude[2];
+	struct fixture f;
+
+	set_up(&f, 2);
+	exclude[0] = &f.servers[0];
+	exclude[1] = &f.servers[1];
+	for (int i = 0; i < 3; i++) {
+		assert_int_equal(cg_balance_pick(f.b, &f.svc, NULL, exclude, 1,
+						 true, 0, &s),
+				 0);
+		assert_ptr_equal(s, &f.servers[1]);
+	}
+	assert_int_equal(
+		cg_balance_pick(f.b, &f.svc, NULL, exclude, 1, true, 0, &s), 1);
+	assert_int_equal(
+		cg_balance_pick(f.b, &f.svc, NULL, exclude, 2, true, 0, &s),
+		-1);
+	cg_balance_free(f.b);
+}
+
+static void least_bad_server_rather_than_refusal(void **state)
+{
+	const struct cg_server *s;
+	struct fixture f;
+
+	set_up(&f, 4);
+	for (int i = 0; i < 4; i++)
+		views[i] =
+			(struct cg_health_view){ .weight = 0, .badness = 3000 };
+	views[2].badness = 1000;
+	views[3].badness = 0;
+	views[3].draining = true;
+	for (int i = 0; i < 3; i++) {
+		assert_int_equal(pick(&f, &s), 0);
+		assert_ptr_equal(s, &f.servers[2]);
+	}
+	/* It is at its limit; work for worse ones waits. */
+	assert_int_equal(pick(&f, &s), 1);
+	for (int i = 0; i < 4; i++)
+		views[i].draining = true;
+	assert_int_equal(pick(&f, &s), -1);
+	cg_balance_free(f.b);
+}
+
+/* A request that must not run twice waits for a healthy server. */
+static void busy_healthy_server_is_waited_for(void **state)
+{
+	const struct cg_server *s;
+	struct fixture f;
+
+	set_up(&f, 2);
+	views[1].weight = 0;
+	views[1].badness = 3000;
+	for (int i = 0; i < 3; i++)
+		assert_int_equal(pick(&f, &s), 0);
+	assert_int_equal(pick(&f, &s), 1);
+	cg_balance_free(f.b);
+}
+
+static void fast_failures_attract_no_load(void **state)
+{
+	int count[SERVERS] = { 0 };
+	const struct cg_server *s;
+	struct fixture f;
+
+	set_up(&f, SERVERS);
+	for (int i = 0; i < 6000; i++) {
+		assert_int_equal(pick(&f, &s), 0);
+		count[number(s)]++;
+		if (number(s) == 0)
+			cg_balance_done(f.b, s, CG_OBSERVED_FAILED, 1, 1000);
+		else
+			cg_balance_done(f.b, s, CG_OBSERVED_OK, 100, 1000);
+	}
+	assert_true(count[0] < 500);
+	cg_balance_free(f.b);
+}
+
+static void sheds_lower_the_limit(void **state)
+{
+	struct cg_balance_server r;
+	const struct cg_server *s;
+	struct fixture f;
+
+	set_up(&f, 1);
+	assert_int_equal(pick(&f, &s), 0);
+	cg_balance_done(f.b, s, CG_OBSERVED_SHED, 1, 1000);
+	cg_balance_read(f.b, &f.servers[0], &r);
+	assert_int_equal(r.limit, 1);
+	cg_balance_free(f.b);
+}
+
+static void state_follows_names_over_configurations(void **state)
+{
+	const struct cg_server *s;
+	struct cg_balance_server r;
+	struct cg_config c;
+	struct fixture f, g;
+
+	set_up(&f, 1);
+	assert_int_equal(pick(&f, &s), 0);
+	/* The same server is second in the next configuration. */
+	g = f;
+	g.svc.servers = g.servers;
+	g.svc.server_count = 2;
+	g_strlcpy(g.servers[0].name, "s5", 8);
+	g_strlcpy(g.servers[1].name, "s0", 8);
+	for (int i = 0; i < 5; i++)
+		assert_int_equal(pick(&g, &s), 0);
+	assert_int_equal(pick(&g, &s), 1);
+	/* The place of a request from the old configuration is given back. */
+	cg_balance_done(f.b, &f.servers[0], CG_OBSERVED_OK, 1, 1000);
+	cg_balance_read(f.b, &f.servers[0], &r);
+	assert_int_equal(r.running, 2);
+	c.service = &g.svc;
+	cg_balance_sync(f.b, &c);
+	assert_int_equal(cg_balance_read(f.b, &f.servers[0], &r), 0);
+	c.service = NULL;
+	cg_balance_sync(f.b, &c);
+	assert_int_equal(cg_balance_read(f.b, &f.servers[0], &r), -1);
+	cg_balance_free(f.b);
+}
+
+static void large_fleet_uses_a_subset(void **state)
+{
+	int count[SERVERS], used = 0;
+	struct fixture f;
+
+	set_up(&f, SERVERS);
+	cg_balance_set_daemons(f.b, 470);
+	for (int i = 0; i < SERVERS; i++)
+		f.servers[i].connections = 100;
+	run(&f, 1000, 10, count);
+	for (int i = 0; i < SERVERS; i++)
+		used += count[i] > 0;
+	assert_int_equal(used, 3);
+	/* With its whole subset ejected, the daemon uses other servers. */
+	for (int i = 0; i < SERVERS; i++)
+		if (count[i])
+			views[i].weight = 0;
+	run(&f, 1000, 10, count);
+	for (int i = 0; i < SERVERS; i++)
+		assert_true(!count[i] || views[i].weight);
+	cg_balance_free(f.b);
+}
+
+static void *worker(void *arg)
+{
+	struct fixture *f = arg;
+	const struct cg_server *s;
+
+	for (int i = 0; i < 20000; i++)
+		if (!pick(f, &s))
+			cg_balance_done(f->b, s,
+					i % 50 ? CG_OBSERVED_OK
+					       : CG_OBSERVED_SHED,
+					i % 30, 1000);
+	return NULL;
+}
+
+static void threads_leak_no_place(void **state)
+{
+	struct cg_balance_server r;
+	struct fixture f;
+	pthread_t t[4];
+
+	set_up(&f, SERVERS);
+	for (int i = 0; i < 4; i++)
+		pthread_create(&t[i], NULL, worker, &f);
+	for (int i = 0; i < 4; i++)
+		pthread_join(t[i], NULL);
+	for (int i = 0; i < SERVERS; i++) {
+		assert_int_equal(cg_balance_read(f.b, &f.servers[i], &r), 0);
+		assert_int_equal(r.running, 0);
+	}
+	cg_balance_free(f.b);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(places_are_bounded_and_given_back),
+		cmocka_unit_test(load_is_spread),
+		cmocka_unit_test(
+			ejected_server_gets_nothing_and_trial_its_share),
+		cmocka_unit_test(excluded_server_is_not_tried_again),
+		cmocka_unit_test(least_bad_server_rather_than_refusal),
+		cmocka_unit_test(busy_healthy_server_is_waited_for),
+		cmocka_unit_test(fast_failures_attract_no_load),
+		cmocka_unit_test(sheds_lower_the_limit),
+		cmocka_unit_test(state_follows_names_over_configurations),
+		cmocka_unit_test(large_fleet_uses_a_subset),
+		cmocka_unit_test(threads_leak_no_place),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
