--- a/include/internal/node.h
+++ b/include/internal/node.h
@@ -21,6 +21,7 @@
 	struct cg_shards *shards;
 	struct cg_proxy proxy; /**< Holds the other parts. */
 	struct cg_admin *admin;
+	struct cg_timer housekeeping;
 };
 
 /** Creates and starts all parts with the settings in place. Returns 0, or -1
--- a/src/base/jsonc.c
+++ b/src/base/jsonc.c
@@ -86,11 +86,35 @@
 
 static bool next_is_colon(const struct scan *s)
 {
-	size_t i = s->at;
+	struct scan ahead = *s;
 
-	while (i < s->len && g_ascii_isspace(s->text[i]))
-		i++;
-	return i < s->len && s->text[i] == ':';
+	while (ahead.at < ahead.len) {
+		char c = ahead.text[ahead.at];
+
+		if (c == '/' && ahead.at + 1 < ahead.len)
+			skip_comment(&ahead);
+		else if (g_ascii_isspace(c))
+			ahead.at++;
+		else
+			return c == ':';
+	}
+	return false;
+}
+
+/* Two spellings of one name, as "a" and "\u0061", are equal to the parser. */
+static char *decode_name(char *raw)
+{
+	char *quoted = g_strdup_printf("\"%s\"", raw);
+	struct json_object *o = json_tokener_parse(quoted);
+	char *out = raw;
+
+	if (o && json_object_is_type(o, json_type_string)) {
+		out = g_strdup(json_object_get_string(o));
+		g_free(raw);
+	}
+	json_object_put(o);
+	g_free(quoted);
+	return out;
 }
 
 static void scan_open(struct scan *s, bool object)
@@ -128,7 +152,7 @@
 			continue;
 		}
 		if (c == '"' || c == '\'') {
-			char *name = scan_string(&s);
+			char *name = decode_name(scan_string(&s));
 
 			if (!next_is_colon(&s) || !s.names[s.depth]) {
 				g_free(name);
--- a/src/control/rates.c
+++ b/src/control/rates.c
@@ -1,5 +1,7 @@
 #include "internal/rates.h"
 
+#include <json-c/json.h>
+
 /* A fixed equal split over the members; the coordinated split follows. */
 
 struct bucket {
@@ -97,3 +99,10 @@
 	g_mutex_unlock(&r->lock);
 	return res;
 }
+
+struct json_object *cg_rates_status(struct cg_rates *r, const char *account)
+{
+	(void)r;
+	(void)account;
+	return json_object_new_object();
+}
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -11,6 +11,7 @@
 #define STORE_TIMEOUT_S	 2
 #define LEAVE_TIMEOUT_MS 5000
 #define DRAIN_POLL_MS	 20
+#define HOUSEKEEPING_MS	 1000
 
 bool cg_node_ready(void *arg)
 {
@@ -62,17 +63,49 @@
 	return 0;
 }
 
+/* Drops the balancer's state of services that a new configuration lacks. */
+static void sync_balance(void *arg, enum cg_doc doc, uint64_t version,
+			 GBytes *content)
+{
+	struct cg_node *n = arg;
+	struct cg_config *c;
+
+	(void)version;
+	(void)content;
+	if (doc != CG_DOC_ROOT)
+		return;
+	c = cg_docs_config(n->proxy.docs);
+	if (!c)
+		return;
+	cg_balance_sync(n->proxy.balance, c);
+	cg_config_unref(c);
+}
+
+/* The number of daemons sizes the subset of servers that each one uses. */
+static void housekeeping(struct cg_timer *t)
+{
+	struct cg_node *n = caa_container_of(t, struct cg_node, housekeeping);
+
+	cg_balance_set_daemons(n->proxy.balance, cg_members_count(n->members));
+	cg_timers_add(n->proxy.timers, t,
+		      cg_clock_now(&n->clk) + HOUSEKEEPING_MS);
+}
+
 static int create_request_path(struct cg_node *n)
 {
 	struct cg_proxy *p = &n->proxy;
 
 	p->timers = cg_timers_new(&n->clk);
 	p->connections = cg_connections_new(&n->clk);
-	p->balance = cg_balance_new(&n->settings, n->members);
+	p->balance = cg_balance_new(n->settings.instance, n->incarnation);
+	cg_docs_add_listener(p->docs, sync_balance, n);
 	p->dispatcher = cg_dispatcher_new(p);
 	p->claims = cg_claims_new(p->store, &n->clk);
-	if (p->timers && p->claims)
+	if (p->timers && p->claims) {
+		n->housekeeping.fire = housekeeping;
+		housekeeping(&n->housekeeping);
 		return 0;
+	}
 	cg_error("cannot start the threads of the request path");
 	return -1;
 }
--- a/src/node/status.c
+++ b/src/node/status.c
@@ -78,7 +78,12 @@
 		return summary(n);
 	if (!strcmp(what, "counters"))
 		return counters();
-	(void)name;
+	if (!strcmp(what, "servers"))
+		return cg_health_status(n->proxy.health, *name ? name : NULL);
+	if (!strcmp(what, "server"))
+		return cg_health_explain(n->proxy.health, name);
+	if (!strcmp(what, "account"))
+		return cg_rates_status(n->proxy.rates, name);
 	if (!strcmp(what, "members"))
 		return cg_members_status(n->members);
 	if (!strcmp(what, "shards"))
--- a/src/rpc/peer.c
+++ b/src/rpc/peer.c
@@ -325,6 +325,9 @@
 {
 	struct cg_peer *p = g_new0(struct cg_peer, 1);
 
+	/* libtirpc allocates a table on the first call of this function, which
+	 * leaks if two threads make it at once. */
+	authnone_create();
 	g_strlcpy(p->instance, instance, sizeof(p->instance));
 	p->incarnation = incarnation;
 	p->secret = g_bytes_ref(secret);
--- a/tests/test_jsonc.c
+++ b/tests/test_jsonc.c
@@ -41,6 +41,8 @@
 		"{} {}",
 		"{\"a\": 1, \"a\": 2}",
 		"{\"a\": {\"b\": 1, \"b\": 2}}",
+		"{\"a\": 1, \"\\u0061\": 2}",
+		"{\"a\" /* x */ : 1, \"a\": 2}",
 		DEEP "1",
 	};
 
