Add the rates controller

Ruled out: one datagram per first contact; asks that gather while a call to the same coordinator runs share the next one, and a coordinator that missed three calls is left alone for 200 ms, so that it cannot fill the transport's threads.

--- a/include/internal/rates.h
+++ b/include/internal/rates.h
@@ -5,6 +5,7 @@
 #ifndef CELERYGLADE_INTERNAL_RATES_H
 #define CELERYGLADE_INTERNAL_RATES_H
 
+#include <json-c/json.h>
 #include <urcu/list.h>
 
 #include "internal/docs.h"
@@ -31,7 +32,11 @@
 			      struct cg_peer *peer, struct cg_members *members,
 			      struct cg_shards *shards, struct cg_docs *docs);
 int cg_rates_start(struct cg_rates *r);
-/** Returns holdings and hands ledgers over, then stops. */
+/**
+ * Returns holdings to the coordinators, hands the ledgers of shards over that
+ * the shard map in use gives to another instance, then stops. To leave without
+ * a survey by the next owner, change the map first.
+ */
 void cg_rates_stop(struct cg_rates *r);
 void cg_rates_free(struct cg_rates *r);
 
@@ -48,4 +53,11 @@
 				  const struct cg_account *a,
 				  struct cg_rate_waiter *w);
 
+/**
+ * Explains an account for an operator: rate, this daemon's holding, the
+ * coordinator, the last answer, refusals, and the ledger if this daemon is the
+ * coordinator. The caller owns the result (json_object_put).
+ */
+struct json_object *cg_rates_status(struct cg_rates *r, const char *account);
+
 #endif
--- /dev/null
+++ b/src/control/rate_asks.c
@@ -0,0 +1,489 @@
+#define CG_PART "rates"
+#include <string.h>
+
+#include "celeryglade/counters.h"
+#include "internal/logging.h"
+#include "rate_codec.h"
+#include "rate_ctl.h"
+
+/* A coordinator that did not answer three calls is left alone for a while, so
+ * that calls to it do not fill the transport's threads. */
+#define FAILURES      3
+#define SILENT_MS     200
+#define REPORT_WAIT   300
+#define STOP_ATTEMPTS 3
+
+enum cg_rate_result rate_without_answer(const struct rate_entry *e)
+{
+	return e->h.session && e->h.bucket.have.cap > 0 ? CG_RATE_REFUSED
+							: CG_RATE_UNAVAILABLE;
+}
+
+void rate_finish(struct cg_rates *r, struct cds_list_head *list,
+		 enum cg_rate_result result)
+{
+	struct cg_rate_waiter *w, *next;
+
+	cds_list_for_each_entry_safe(w, next, list, node) {
+		cds_list_del(&w->node);
+		if (result == CG_RATE_REFUSED)
+			atomic_fetch_add(&r->refused, 1);
+		else if (result == CG_RATE_UNAVAILABLE)
+			atomic_fetch_add(&r->unavailable, 1);
+		w->done(w, result);
+	}
+}
+
+static void move_waiter(struct cg_rates *r, struct rate_entry *e,
+			struct cg_rate_waiter *w, struct cds_list_head *to)
+{
+	cds_list_del(&w->node);
+	cds_list_add_tail(&w->node, to);
+	e->waiting--;
+	atomic_fetch_sub(&r->waiting, 1);
+}
+
+void rate_expire(struct cg_rates *r, struct rate_entry *e, cg_ms now,
+		 struct cds_list_head *out)
+{
+	struct cg_rate_waiter *w, *next;
+
+	cds_list_for_each_entry_safe(w, next, &e->waiters, node)
+		if (w->until <= now)
+			move_waiter(r, e, w, out);
+}
+
+static void serve(struct cg_rates *r, struct rate_entry *e, cg_ms now,
+		  struct cds_list_head *admitted)
+{
+	struct cg_rate_waiter *w, *next;
+
+	cds_list_for_each_entry_safe(w, next, &e->waiters, node) {
+		if (!cg_rate_holding_take_waiting(&e->h, now))
+			return;
+		move_waiter(r, e, w, admitted);
+	}
+}
+
+static int64_t need_of(const struct rate_entry *e)
+{
+	int64_t need = (int64_t)e->waiting * CG_RATE_ONE;
+
+	if (need)
+		need -= e->h.bucket.have.tokens;
+	return need > 0 ? need : 0;
+}
+
+enum cg_rate_status rate_ask_self(struct cg_rates *r, struct rate_shard *sh,
+				  struct rate_entry *e,
+				  const struct cg_rate_terms *t, cg_ms now)
+{
+	struct cg_rate_party self;
+	struct cg_rate_answer a;
+	struct cg_rate_ask ask;
+
+	rate_self(r, &self);
+	cg_rate_holding_ask(&e->h, now, need_of(e), &ask);
+	cg_rate_ledger_ask(sh->ledger, now, t, &self, true, &ask, &a);
+	cg_rate_holding_apply(&e->h, now, now, &a);
+	e->answered_at = now;
+	return a.status;
+}
+
+static struct rate_link *get_link(struct cg_rates *r,
+				  const struct cg_shard_owner *o)
+{
+	struct rate_link *l = g_hash_table_lookup(r->links, o->instance);
+
+	if (!l) {
+		l = g_new0(struct rate_link, 1);
+		g_strlcpy(l->instance, o->instance, sizeof(l->instance));
+		l->pending =
+			g_array_new(FALSE, FALSE, sizeof(struct rate_item));
+		g_hash_table_insert(r->links, l->instance, l);
+	}
+	l->addr = o->addr;
+	return l;
+}
+
+void rate_links_free(struct cg_rates *r)
+{
+	struct rate_link *l;
+	GHashTableIter it;
+
+	g_hash_table_iter_init(&it, r->links);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&l)) {
+		g_array_free(l->pending, TRUE);
+		g_free(l);
+	}
+	g_hash_table_destroy(r->links);
+}
+
+int rate_ask_queue(struct cg_rates *r, uint32_t shard, struct rate_entry *e,
+		   struct rate_link **link)
+{
+	struct rate_item item = { .shard = shard };
+	struct cg_shard_owner o;
+	struct rate_link *l;
+	int rc = -1;
+
+	if (cg_shards_owner(r->map, shard, &o) || o.self)
+		return -1;
+	g_strlcpy(item.name, e->name, sizeof(item.name));
+	pthread_mutex_lock(&r->links_lock);
+	l = get_link(r, &o);
+	if (cg_clock_now(r->clk) >= l->silent_until) {
+		g_array_append_val(l->pending, item);
+		e->asking = true;
+		*link = l;
+		rc = 0;
+	}
+	pthread_mutex_unlock(&r->links_lock);
+	return rc;
+}
+
+/* Appends the asks of the items that still want one. Items without an ask are
+ * removed. */
+static void fill_asks(struct cg_rates *r, GArray *items, cg_x_rate_asks *out)
+{
+	guint n = 0;
+
+	out->ip = ntohl(r->addr.sin_addr.s_addr);
+	out->port = ntohs(r->addr.sin_port);
+	out->items.items_val = g_new0(cg_x_rate_ask, items->len);
+	for (guint i = 0; i < items->len; i++) {
+		struct rate_item *it =
+			&g_array_index(items, struct rate_item, i);
+		struct rate_shard *sh = rate_shard_of(r, it->shard);
+		struct rate_item *kept =
+			&g_array_index(items, struct rate_item, n);
+		struct cg_rate_ask ask;
+		struct rate_entry *e;
+
+		pthread_mutex_lock(&sh->lock);
+		e = g_hash_table_lookup(sh->entries, it->name);
+		if (e) {
+			it->sent = cg_clock_now(r->clk);
+			cg_rate_holding_ask(&e->h, it->sent, need_of(e), &ask);
+			*kept = *it;
+			cg_rate_ask_to_xdr(kept->name, &ask,
+					   &out->items.items_val[n++]);
+		}
+		pthread_mutex_unlock(&sh->lock);
+	}
+	g_array_set_size(items, n);
+	out->items.items_len = n;
+}
+
+static GByteArray *encode_asks(struct cg_rates *r, GArray *items)
+{
+	GByteArray *body = g_byte_array_new();
+	cg_x_rate_asks x = { 0 };
+
+	fill_asks(r, items, &x);
+	if (!x.items.items_len ||
+	    cg_xdr_encode((xdrproc_t)xdr_cg_x_rate_asks, &x, body))
+		g_byte_array_set_size(body, 0);
+	g_free(x.items.items_val);
+	cg_count_add(CG_COUNTER_RATE_ASKS, x.items.items_len);
+	return body;
+}
+
+static bool want_more(const struct rate_entry *e, enum cg_rate_status status,
+		      cg_ms now)
+{
+	return e->waiting && e->h.deny_until <= now &&
+	       (status == CG_RATE_STATUS_OK || status == CG_RATE_STATUS_CLOSED);
+}
+
+/* Applies one answer, or with @p a NULL the lack of one. Returns whether the
+ * link has something to send again. */
+static bool settle_item(struct cg_rates *r, const struct rate_item *it,
+			const struct cg_rate_answer *a)
+{
+	struct rate_shard *sh = rate_shard_of(r, it->shard);
+	cg_ms now = cg_clock_now(r->clk);
+	enum cg_rate_result rest = CG_RATE_REFUSED;
+	CDS_LIST_HEAD(admitted);
+	CDS_LIST_HEAD(others);
+	struct rate_link *link = NULL;
+	struct rate_entry *e;
+	bool again;
+
+	pthread_mutex_lock(&sh->lock);
+	e = g_hash_table_lookup(sh->entries, it->name);
+	if (!e) {
+		pthread_mutex_unlock(&sh->lock);
+		return false;
+	}
+	if (a) {
+		cg_rate_holding_apply(&e->h, now, it->sent, a);
+		e->answered_at = now;
+		serve(r, e, now, &admitted);
+	}
+	e->asking = false;
+	rate_expire(r, e, now, &others);
+	/* Once more if the answer is missing, and for requests that came after
+	 * the ask was sent. */
+	again = a ? want_more(e, a->status, now) : e->waiting > 0;
+	if (!again || rate_ask_queue(r, it->shard, e, &link))
+		rate_expire(r, e, CG_MS_NEVER, &others);
+	if (!a || (a->status != CG_RATE_STATUS_OK &&
+		   a->status != CG_RATE_STATUS_CLOSED))
+		rest = rate_without_answer(e);
+	pthread_mutex_unlock(&sh->lock);
+	rate_finish(r, &admitted, CG_RATE_ADMITTED);
+	rate_finish(r, &others, rest);
+	return link != NULL;
+}
+
+/* Returns 0 if the reply was applied, -1 if it does not fit the items. */
+static int apply_reply(struct cg_rates *r, const GArray *items,
+		       const GByteArray *reply)
+{
+	cg_x_rate_answers x;
+
+	if (cg_xdr_decode((xdrproc_t)xdr_cg_x_rate_answers, reply->data,
+			  reply->len, &x, sizeof(x)))
+		return -1;
+	if (x.items.items_len != items->len) {
+		xdr_free((xdrproc_t)xdr_cg_x_rate_answers, (char *)&x);
+		return -1;
+	}
+	for (guint i = 0; i < items->len; i++) {
+		struct cg_rate_answer a;
+
+		cg_rate_answer_from_xdr(&x.items.items_val[i], &a);
+		settle_item(r, &g_array_index(items, struct rate_item, i), &a);
+	}
+	xdr_free((xdrproc_t)xdr_cg_x_rate_answers, (char *)&x);
+	return 0;
+}
+
+static void settle_all_unanswered(struct cg_rates *r, const GArray *items)
+{
+	for (guint i = 0; i < items->len; i++)
+		settle_item(r, &g_array_index(items, struct rate_item, i),
+			    NULL);
+}
+
+static void note_result(struct cg_rates *r, struct rate_link *l, int rc)
+{
+	pthread_mutex_lock(&r->links_lock);
+	if (!rc) {
+		l->failures = 0;
+		l->silent_until = 0;
+	} else if (++l->failures >= FAILURES) {
+		l->silent_until = cg_clock_now(r->clk) + SILENT_MS;
+	}
+	pthread_mutex_unlock(&r->links_lock);
+}
+
+static void on_answer(void *arg, int rc, const GByteArray *reply)
+{
+	struct rate_flight *f = arg;
+	struct cg_rates *r = f->r;
+
+	note_result(r, f->link, rc);
+	if (rc || apply_reply(r, f->items, reply))
+		settle_all_unanswered(r, f->items);
+	pthread_mutex_lock(&r->links_lock);
+	f->link->busy = false;
+	pthread_mutex_unlock(&r->links_lock);
+	rate_link_flush(r, f->link);
+	g_array_free(f->items, TRUE);
+	g_free(f);
+	/* Last, since cg_rates_stop waits for it. */
+	atomic_fetch_sub(&r->flights, 1);
+}
+
+/* Takes the next datagram's items if the link is free. */
+static GArray *begin_flight(struct cg_rates *r, struct rate_link *l,
+			    struct sockaddr_in *to)
+{
+	GArray *items = NULL;
+	guint n;
+
+	pthread_mutex_lock(&r->links_lock);
+	n = l->pending->len;
+	if (n > CG_X_RATE_ITEMS)
+		n = CG_X_RATE_ITEMS;
+	if (!l->busy && n) {
+		l->busy = true;
+		*to = l->addr;
+		items = g_array_new(FALSE, FALSE, sizeof(struct rate_item));
+		g_array_append_vals(items, l->pending->data, n);
+		g_array_remove_range(l->pending, 0, n);
+	}
+	pthread_mutex_unlock(&r->links_lock);
+	return items;
+}
+
+/* Half of the wait, so that one lost datagram can be sent again in time. */
+static cg_ms call_timeout(const struct cg_rates *r)
+{
+	return r->wait_ms / 2 > 0 ? r->wait_ms / 2 : 1;
+}
+
+void rate_link_flush(struct cg_rates *r, struct rate_link *l)
+{
+	struct rate_flight *f;
+	struct sockaddr_in to;
+	GByteArray *body;
+	GArray *items;
+
+	while ((items = begin_flight(r, l, &to))) {
+		body = encode_asks(r, items);
+		f = g_new0(struct rate_flight, 1);
+		f->r = r;
+		f->link = l;
+		f->items = items;
+		atomic_fetch_add(&r->flights, 1);
+		if (body->len &&
+		    !cg_peer_submit(r->peer, &to, CG_MSG_RATE_ASK, body->data,
+				    body->len, call_timeout(r), on_answer, f)) {
+			g_byte_array_unref(body);
+			return;
+		}
+		g_byte_array_unref(body);
+		/* Not sent: counts as a failed call, so the loop ends. */
+		note_result(r, l, -1);
+		settle_all_unanswered(r, items);
+		g_array_free(items, TRUE);
+		g_free(f);
+		pthread_mutex_lock(&r->links_lock);
+		l->busy = false;
+		pthread_mutex_unlock(&r->links_lock);
+		atomic_fetch_sub(&r->flights, 1);
+	}
+}
+
+/* Reports to the own ledger. */
+static void report_to_self(struct cg_rates *r, struct rate_shard *sh,
+			   struct rate_entry *e, cg_ms now)
+{
+	struct cg_rate_terms t = { e->name, e->h.rate, e->h.burst };
+
+	rate_ask_self(r, sh, e, &t, now);
+}
+
+/* Forgets entries that have been unused for long. */
+static bool forget(struct rate_shard *sh, const struct rate_entry *e, cg_ms now)
+{
+	if (e->waiting || e->asking || !cg_rate_holding_unused(&e->h, now))
+		return false;
+	if (e->h.past_session > sh->past_session)
+		sh->past_session = e->h.past_session;
+	return true;
+}
+
+/* Gathers due reports of the shard by coordinator. */
+static void gather(struct cg_rates *r, uint32_t shard, bool stop,
+		   GHashTable *batches)
+{
+	struct rate_shard *sh = rate_shard_of(r, shard);
+	cg_ms now = cg_clock_now(r->clk);
+	struct cg_shard_owner o = { 0 };
+	bool owned = !cg_shards_owner(r->map, shard, &o);
+	struct rate_item item = { .shard = shard };
+	struct rate_entry *e;
+	GHashTableIter it;
+	GArray *batch;
+
+	pthread_mutex_lock(&sh->lock);
+	g_hash_table_iter_init(&it, sh->entries);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&e)) {
+		if (forget(sh, e, now)) {
+			g_hash_table_iter_remove(&it);
+			continue;
+		}
+		if (stop)
+			cg_rate_holding_close(&e->h, now);
+		if (!cg_rate_holding_due(&e->h, now) && !(stop && e->h.session))
+			continue;
+		if (sh->ledger) {
+			report_to_self(r, sh, e, now);
+		} else if (owned && !o.self) {
+			batch = g_hash_table_lookup(batches, o.instance);
+			if (!batch) {
+				batch = g_array_new(FALSE, FALSE,
+						    sizeof(struct rate_item));
+				g_hash_table_insert(
+					batches, g_strdup(o.instance), batch);
+			}
+			g_strlcpy(item.name, e->name, sizeof(item.name));
+			g_array_append_val(batch, item);
+		}
+	}
+	pthread_mutex_unlock(&sh->lock);
+}
+
+static int call_batch(struct cg_rates *r, const struct sockaddr_in *to,
+		      GArray *items, bool stop)
+{
+	GByteArray *body = encode_asks(r, items);
+	GByteArray *reply = g_byte_array_new();
+	int rc = -1;
+
+	if (body->len)
+		rc = cg_peer_call(r->peer, to,
+				  stop ? CG_MSG_RATE_RETURN : CG_MSG_RATE_ASK,
+				  body->data, body->len, REPORT_WAIT, reply);
+	if (!rc)
+		rc = apply_reply(r, items, reply);
+	g_byte_array_unref(body);
+	g_byte_array_unref(reply);
+	return rc;
+}
+
+/* Sends the batch in as many datagrams as needed. After a failed call the rest
+ * waits for its next turn. */
+static void send_batch(struct cg_rates *r, const GArray *batch, bool stop)
+{
+	const struct rate_item *first =
+		&g_array_index(batch, struct rate_item, 0);
+	struct cg_shard_owner o;
+
+	if (cg_shards_owner(r->map, first->shard, &o) || o.self)
+		return;
+	for (guint i = 0; i < batch->len; i += CG_X_RATE_ITEMS) {
+		guint n = MIN(batch->len - i, CG_X_RATE_ITEMS);
+		GArray *items = g_array_sized_new(FALSE, FALSE,
+						  sizeof(struct rate_item), n);
+		int rc = -1;
+
+		g_array_append_vals(
+			items, &g_array_index(batch, struct rate_item, i), n);
+		for (int k = 0; rc && k < (stop ? STOP_ATTEMPTS : 1); k++)
+			rc = call_batch(r, &o.addr, items, stop);
+		g_array_free(items, TRUE);
+		if (rc) {
+			if (stop)
+				cg_warning("could not return holdings to %s; "
+					   "they stay unused until this "
+					   "instance is proved gone",
+					   o.instance);
+			return;
+		}
+	}
+}
+
+static void free_batch(void *p)
+{
+	g_array_free(p, TRUE);
+}
+
+void rate_report(struct cg_rates *r, bool stop)
+{
+	GHashTable *batches = g_hash_table_new_full(g_str_hash, g_str_equal,
+						    g_free, free_batch);
+	GHashTableIter it;
+	GArray *batch;
+
+	for (uint32_t s = 0; s < CG_SHARDS; s++)
+		gather(r, s, stop, batches);
+	g_hash_table_iter_init(&it, batches);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&batch))
+		send_batch(r, batch, stop);
+	g_hash_table_destroy(batches);
+}
--- /dev/null
+++ b/src/control/rate_ctl.h
@@ -0,0 +1,155 @@
+/*
+ * The parts of the rates controller. Locks: a shard's lock guards its entries
+ * and its ledger; links_lock guards the links. A shard's lock may be held when
+ * links_lock is taken, never the other way round. No lock is held while a
+ * waiter's function runs or a message is sent.
+ */
+#ifndef RATE_CTL_H
+#define RATE_CTL_H
+
+#include <pthread.h>
+#include <stdatomic.h>
+
+#include "celeryglade/rate_ledger.h"
+#include "internal/rates.h"
+#include "rate_wire.h"
+
+/** What this daemon knows of one account. */
+struct rate_entry {
+	struct cg_rate_holding h;
+	char name[CG_NAME_MAX + 1];
+	struct cds_list_head waiters;
+	int waiting;
+	bool asking; /**< An ask for the waiters is queued or sent. */
+	cg_ms answered_at;
+	cg_ms created_at;
+};
+
+/** A hand-over that arrives in pages. */
+struct rate_import {
+	uint64_t epoch;
+	cg_ms active_ms;
+	uint32_t pages;
+	uint32_t have;
+	bool *got;
+	GPtrArray *parts; /**< cg_x_rate_handover, decoded. */
+};
+
+struct rate_shard {
+	pthread_mutex_t lock;
+	GHashTable *entries; /**< Name to struct rate_entry. */
+	uint64_t past_session; /**< For new entries. */
+	uint64_t surveyed; /**< Highest epoch answered. */
+	struct cg_rate_ledger *ledger; /**< NULL: not the coordinator. */
+	cg_ms took_over_at;
+	bool survey_started;
+	GHashTable *answered; /**< Survey: name to incarnation. */
+	struct rate_import *import;
+};
+
+/** Asks to one coordinator: one call at a time, so that what gathers meanwhile
+ * shares the next datagram. */
+struct rate_link {
+	char instance[CG_NAME_MAX + 1];
+	struct sockaddr_in addr;
+	GArray *pending; /**< struct rate_item. */
+	bool busy;
+	int failures;
+	cg_ms silent_until;
+};
+
+struct rate_item {
+	uint32_t shard;
+	char name[CG_NAME_MAX + 1];
+	cg_ms sent;
+};
+
+/** A submitted call. */
+struct rate_flight {
+	struct cg_rates *r;
+	struct rate_link *link;
+	GArray *items;
+};
+
+struct cg_rates {
+	char instance[CG_NAME_MAX + 1];
+	struct sockaddr_in addr;
+	cg_ms wait_ms;
+	cg_ms unlisted_lease_ms;
+	struct cg_clock *clk;
+	struct cg_peer *peer;
+	struct cg_members *members;
+	struct cg_shards *map;
+	struct cg_docs *docs;
+	struct rate_shard shards[CG_SHARDS];
+	pthread_mutex_t links_lock;
+	GHashTable *links; /**< Instance to struct rate_link. */
+	_Atomic int flights;
+	_Atomic int waiting;
+	_Atomic bool stopping;
+	pthread_t thread;
+	bool running;
+	uint64_t config_version;
+	uint64_t generation;
+	cg_ms members_at;
+	cg_ms ledgers_at;
+	cg_ms survey_at;
+	_Atomic uint64_t refused;
+	_Atomic uint64_t unavailable;
+};
+
+/* rates.c */
+struct rate_shard *rate_shard_of(struct cg_rates *r, uint32_t shard);
+struct rate_entry *rate_entry_get(struct cg_rates *r, struct rate_shard *sh,
+				  const struct cg_account *a, cg_ms now);
+void rate_self(const struct cg_rates *r, struct cg_rate_party *out);
+
+/* rate_asks.c */
+/** Queues an ask for the entry's waiters; the shard is locked. Returns -1 if
+ * the coordinator is unknown or silent. */
+int rate_ask_queue(struct cg_rates *r, uint32_t shard, struct rate_entry *e,
+		   struct rate_link **link);
+void rate_link_flush(struct cg_rates *r, struct rate_link *l);
+/** Asks the own ledger; the shard is locked. */
+enum cg_rate_status rate_ask_self(struct cg_rates *r, struct rate_shard *sh,
+				  struct rate_entry *e,
+				  const struct cg_rate_terms *t, cg_ms now);
+/** What a request gets without an answer. */
+enum cg_rate_result rate_without_answer(const struct rate_entry *e);
+/** Moves overdue waiters to @p out; the shard is locked. */
+void rate_expire(struct cg_rates *r, struct rate_entry *e, cg_ms now,
+		 struct cds_list_head *out);
+/** Runs the functions of the waiters; no lock is held. */
+void rate_finish(struct cg_rates *r, struct cds_list_head *list,
+		 enum cg_rate_result result);
+/** Sends all due reports; with @p stop also returns all holdings. */
+void rate_report(struct cg_rates *r, bool stop);
+void rate_links_free(struct cg_rates *r);
+
+/* rate_coordinator.c */
+int rate_handle_asks(struct cg_rates *r, const struct cg_peer_msg *msg,
+		     GByteArray *reply);
+/** Reclaims from members that are gone or replaced. */
+void rate_check_members(struct cg_rates *r, cg_ms now);
+/** Ends leases and follows the shard map. */
+void rate_step_ledgers(struct cg_rates *r, cg_ms now);
+
+/* rate_takeover.c */
+int rate_handle_survey(struct cg_rates *r, const struct cg_peer_msg *msg,
+		       GByteArray *reply);
+/** Adopts or gives up the shard according to the map; locks the shard. */
+void rate_follow_map(struct cg_rates *r, uint32_t shard, cg_ms now);
+/** Calls members that have not answered the surveys of this daemon's shards. */
+void rate_drive_surveys(struct cg_rates *r, cg_ms now);
+
+/* rate_handover.c */
+int rate_handle_handover(struct cg_rates *r, const struct cg_peer_msg *msg,
+			 GByteArray *reply);
+/** Imports a complete hand-over for the ledger's epoch; the shard is locked. */
+void rate_try_import(struct cg_rates *r, struct rate_shard *sh, cg_ms now);
+/** Sends the ledger to its new owner; no lock is held. */
+void rate_hand_over(struct cg_rates *r, struct cg_rate_ledger *l,
+		    const struct cg_shard_owner *to);
+void rate_import_free(struct rate_import *im);
+
+#endif
--- /dev/null
+++ b/tests/test_rate_controller.c
@@ -0,0 +1,624 @@
+/* Several instances in one process with real transports. Guards against grants
+ * above the limit under concurrent load, waiters that are never called or are
+ * called late, and holdings or ledgers that are lost or doubled when a
+ * coordinator leaves or dies. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include <arpa/inet.h>
+#include <malloc.h>
+#include <pthread.h>
+#include <string.h>
+
+#include "celeryglade/counters.h"
+#include "internal/rates.h"
+
+#define NODES	   4
+#define FIRST_PORT 22100
+
+struct cg_members {
+	int self;
+	pthread_mutex_t lock;
+	struct cg_member all[NODES];
+	uint64_t generation;
+};
+
+struct cg_shards {
+	int self;
+	pthread_mutex_t lock;
+	int owner;
+	uint64_t epoch;
+	struct cg_shard_owner addr_of[NODES];
+};
+
+struct cg_config {
+	struct cg_account accounts[3];
+};
+
+struct cg_docs {
+	_Atomic uint64_t version;
+	struct cg_config *_Atomic config;
+};
+
+struct node {
+	struct cg_members members;
+	struct cg_shards shards;
+	struct cg_docs docs;
+	struct cg_peer *peer;
+	struct cg_rates *rates;
+	_Atomic bool mute; /**< Refuses all messages. */
+};
+
+struct fixture {
+	GBytes *secret;
+	struct cg_clock clk;
+	struct cg_settings settings;
+	struct cg_config config;
+	struct cg_config slower;
+	struct node node[NODES];
+};
+
+size_t cg_members_copy(struct cg_members *m, struct cg_member *out, size_t max)
+{
+	size_t n = 0;
+
+	pthread_mutex_lock(&m->lock);
+	for (int i = 0; i < NODES && n < max; i++)
+		if (i != m->self && m->all[i].state != CG_MEMBER_GONE)
+			out[n++] = m->all[i];
+	pthread_mutex_unlock(&m->lock);
+	return n;
+}
+
+int cg_members_find(struct cg_members *m, const char *name,
+		    struct cg_member *out)
+{
+	int rc = -1;
+
+	pthread_mutex_lock(&m->lock);
+	for (int i = 0; i < NODES; i++) {
+		if (!strcmp(m->all[i].name, name)) {
+			*out = m->all[i];
+			rc = 0;
+		}
+	}
+	pthread_mutex_unlock(&m->lock);
+	return rc;
+}
+
+uint64_t cg_members_generation(struct cg_members *m)
+{
+	uint64_t g;
+
+	pthread_mutex_lock(&m->lock);
+	g = m->generation;
+	pthread_mutex_unlock(&m->lock);
+	return g;
+}
+
+int cg_shards_owner(struct cg_shards *s, uint32_t shard,
+		    struct cg_shard_owner *out)
+{
+	pthread_mutex_lock(&s->lock);
+	*out = s->addr_of[s->owner];
+	out->epoch = s->epoch;
+	out->self = s->owner == s->self;
+	pthread_mutex_unlock(&s->lock);
+	return 0;
+}
+
+uint64_t cg_docs_version(struct cg_docs *d, enum cg_doc doc)
+{
+	return d->version;
+}
+
+struct cg_config *cg_docs_config(struct cg_docs *d)
+{
+	return d->config;
+}
+
+void cg_config_unref(struct cg_config *c)
+{
+}
+
+const struct cg_account *cg_config_account(const struct cg_config *c,
+					   const char *name)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(c->accounts); i++)
+		if (!strcmp(c->accounts[i].name, name))
+			return &c->accounts[i];
+	return NULL;
+}
+
+uint32_t cg_shard_of(const char *name)
+{
+	return (uint32_t)(unsigned char)name[0];
+}
+
+static int handle(void *arg, const struct cg_peer_msg *msg, GByteArray *reply)
+{
+	struct node *n = arg;
+
+	if (n->mute) {
+		cg_sleep(300);
+		return -1;
+	}
+	return cg_rates_handle(n->rates, msg, reply);
+}
+
+static void fill_account(struct cg_account *a, const char *name, int64_t rate,
+			 int64_t burst)
+{
+	g_strlcpy(a->name, name, sizeof(a->name));
+	a->shard = cg_shard_of(name);
+	a->rate_milli = rate * 1000;
+	a->burst_milli = burst * 1000;
+}
+
+static struct sockaddr_in addr_of(int i)
+{
+	struct sockaddr_in a = { .sin_family = AF_INET,
+				 .sin_port =
+					 htons((uint16_t)(FIRST_PORT + i)) };
+
+	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	return a;
+}
+
+static void fill_views(struct fixture *f, struct node *n, int self)
+{
+	pthread_mutex_init(&n->members.lock, NULL);
+	pthread_mutex_init(&n->shards.lock, NULL);
+	n->members.self = self;
+	n->shards.self = self;
+	n->shards.epoch = 1;
+	n->docs.version = 1;
+	n->docs.config = &f->config;
+	for (int i = 0; i < NODES; i++) {
+		struct cg_member *m = &n->members.all[i];
+
+		g_snprintf(m->name, sizeof(m->name), "entry-%d", i);
+		m->incarnation = (uint64_t)i + 1;
+		m->addr = addr_of(i);
+		m->state = CG_MEMBER_LIVE;
+		n->shards.addr_of[i].addr = m->addr;
+		g_strlcpy(n->shards.addr_of[i].instance, m->name,
+			  sizeof(m->name));
+	}
+}
+
+static int start_node(struct fixture *f, int i)
+{
+	struct node *n = &f->node[i];
+	struct cg_settings s = f->settings;
+
+	fill_views(f, n, i);
+	g_snprintf(s.instance, sizeof(s.instance), "entry-%d", i);
+	s.peer = addr_of(i);
+	n->peer = cg_peer_new(s.instance, (uint64_t)i + 1, f->secret, &s.peer);
+	if (!n->peer)
+		return -1;
+	n->rates = cg_rates_new(&s, &f->clk, n->peer, &n->members, &n->shards,
+				&n->docs);
+	cg_peer_set_handler(n->peer, handle, n);
+	return cg_peer_start(n->peer) || cg_rates_start(n->rates);
+}
+
+static void stop_node(struct node *n)
+{
+	cg_rates_stop(n->rates);
+	cg_peer_free(n->peer);
+	cg_rates_free(n->rates);
+	n->peer = NULL;
+	n->rates = NULL;
+}
+
+static int setup(void **state)
+{
+	struct fixture *f = g_new0(struct fixture, 1);
+
+	*state = f;
+	f->secret = g_bytes_new("secret", 6);
+	cg_clock_init_boot(&f->clk);
+	f->settings.rate_wait_ms = 200;
+	f->settings.unlisted_lease_ms = 3000;
+	fill_account(&f->config.accounts[0], "large", 300, 200);
+	fill_account(&f->config.accounts[1], "small", 5, 10);
+	fill_account(&f->config.accounts[2], "empty", 0, 0);
+	f->slower = f->config;
+	fill_account(&f->slower.accounts[0], "large", 30, 20);
+	for (int i = 0; i < NODES; i++)
+		if (start_node(f, i))
+			return -1;
+	return 0;
+}
+
+static int teardown(void **state)
+{
+	struct fixture *f = *state;
+
+	for (int i = NODES - 1; i >= 0; i--)
+		if (f->node[i].rates)
+			stop_node(&f->node[i]);
+	g_bytes_unref(f->secret);
+	g_free(f);
+	return 0;
+}
+
+struct waiter {
+	struct cg_rate_waiter w;
+	_Atomic int result; /**< -1 until done. */
+	_Atomic int calls;
+};
+
+static void done(struct cg_rate_waiter *w, enum cg_rate_result result)
+{
+	struct waiter *x = caa_container_of(w, struct waiter, w);
+
+	x->calls++;
+	x->result = (int)result;
+}
+
+/* Takes one and waits for the result at most two seconds. */
+static int take(struct fixture *f, int node, int account)
+{
+	struct waiter w = { .w.done = done, .result = -1 };
+	int rc = (int)cg_rates_take(f->node[node].rates,
+				    &f->config.accounts[account], &w.w);
+
+	if (rc != CG_RATE_WAIT) {
+		assert_int_equal(w.calls, 0);
+		return rc;
+	}
+	for (int i = 0; i < 2000 && w.result < 0; i++)
+		cg_sleep(1);
+	assert_int_equal(w.calls, 1);
+	return w.result;
+}
+
+static int64_t ledger_value(struct fixture *f, int node, const char *account,
+			    const char *field)
+{
+	struct json_object *o = cg_rates_status(f->node[node].rates, account);
+	struct json_object *l, *v;
+	int64_t out = -1;
+
+	if (json_object_object_get_ex(o, "ledger", &l) &&
+	    json_object_object_get_ex(l, field, &v))
+		out = json_object_is_type(v, json_type_array)
+			      ? (int64_t)json_object_array_length(v)
+			      : json_object_get_int64(v);
+	json_object_put(o);
+	return out;
+}
+
+static bool wait_for_holders(struct fixture *f, int node, const char *account,
+			     int64_t least, int64_t most, int ms)
+{
+	for (int i = 0; i < ms / 10; i++) {
+		int64_t n = ledger_value(f, node, account, "holders");
+
+		if (n >= least && n <= most)
+			return true;
+		cg_sleep(10);
+	}
+	return false;
+}
+
+static void first_request_is_admitted_anywhere(void **state)
+{
+	struct fixture *f = *state;
+
+	for (int i = 0; i < NODES; i++) {
+		assert_int_equal(take(f, i, 1), CG_RATE_ADMITTED);
+		assert_int_equal(take(f, i, 0), CG_RATE_ADMITTED);
+	}
+}
+
+static void unknown_or_empty_accounts_are_refused(void **state)
+{
+	struct fixture *f = *state;
+
+	assert_int_equal(take(f, 0, 2), CG_RATE_REFUSED);
+	assert_int_equal(take(f, 1, 2), CG_RATE_REFUSED);
+}
+
+struct hammer {
+	struct fixture *f;
+	int node;
+	cg_ms until;
+	GArray *times;
+	int results[4];
+};
+
+static void *hammer(void *arg)
+{
+	struct hammer *h = arg;
+
+	while (cg_clock_now(&h->f->clk) < h->until) {
+		int rc = take(h->f, h->node, 0);
+		cg_ms now = cg_clock_now(&h->f->clk);
+
+		h->results[rc]++;
+		if (rc == CG_RATE_ADMITTED)
+			g_array_append_val(h->times, now);
+		else
+			cg_sleep(1);
+	}
+	return NULL;
+}
+
+static gint compare_times(gconstpointer a, gconstpointer b)
+{
+	cg_ms x = *(const cg_ms *)a, y = *(const cg_ms *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+/* Requests above the limit in the worst window. The times are read after the
+ * decision, so a window may seem shorter than it was by scheduling delays. */
+static double excess(GArray *t, int64_t rate, int64_t burst, cg_ms slack)
+{
+	double worst = -1e9, lowest = 1e18;
+
+	g_array_sort(t, compare_times);
+	for (guint i = 0; i < t->len; i++) {
+		double x = i - (double)rate *
+				       (double)g_array_index(t, cg_ms, i) /
+				       1000;
+
+		lowest = x < lowest ? x : lowest;
+		x = x - lowest + 1 - (double)burst -
+		    (double)rate * (double)slack / 1000;
+		worst = x > worst ? x : worst;
+	}
+	return worst;
+}
+
+static void concurrent_load_stays_within_the_limit(void **state)
+{
+	struct fixture *f = *state;
+	struct hammer h[NODES * 2];
+	pthread_t threads[NODES * 2];
+	GArray *all = g_array_new(FALSE, FALSE, sizeof(cg_ms));
+	cg_ms start = cg_clock_now(&f->clk);
+
+	for (int i = 0; i < NODES * 2; i++) {
+		h[i] = (struct hammer){ .f = f,
+					.node = i % NODES,
+					.until = start + 5000 };
+		h[i].times = g_array_new(FALSE, FALSE, sizeof(cg_ms));
+		assert_int_equal(
+			pthread_create(&threads[i], NULL, hammer, &h[i]), 0);
+	}
+	for (int i = 0; i < NODES * 2; i++) {
+		pthread_join(threads[i], NULL);
+		g_array_append_vals(all, h[i].times->data, h[i].times->len);
+		g_array_free(h[i].times, TRUE);
+		assert_int_equal(h[i].results[CG_RATE_UNAVAILABLE], 0);
+	}
+	printf("admitted %u in 5 s, limit %d\n", all->len, 200 + 5 * 300);
+	assert_true(all->len <= 200 + 300 * 5 + 30);
+	assert_true(all->len >= 300 * 5 * 8 / 10);
+	assert_true(excess(all, 300, 200, 50) <= 0);
+	g_array_free(all, TRUE);
+	/* All four hold a part now. */
+	assert_true(ledger_value(f, 0, "large", "holders") >= NODES - 1);
+}
+
+static void local_path_allocates_nothing(void **state)
+{
+	struct fixture *f = *state;
+	struct waiter w = { .w.done = done, .result = -1 };
+	size_t before;
+	int admitted = 0;
+
+	for (int i = 0; i < 300; i++) {
+		take(f, 1, 0);
+		cg_sleep(1);
+	}
+	cg_sleep(300);
+	before = mallinfo2().uordblks;
+	for (int i = 0; i < 3; i++)
+		admitted +=
+			cg_rates_take(f->node[1].rates, &f->config.accounts[0],
+				      &w.w) == CG_RATE_ADMITTED;
+	/* Other threads may free at the same time, so only growth counts. */
+	assert_true(mallinfo2().uordblks <= before);
+	assert_int_equal(admitted, 3);
+}
+
+static void idle_holdings_return(void **state)
+{
+	struct fixture *f = *state;
+
+	for (int i = 0; i < 200; i++) {
+		take(f, 1, 0);
+		cg_sleep(5);
+	}
+	assert_true(wait_for_holders(f, 0, "large", 1, NODES, 2000));
+	assert_true(wait_for_holders(f, 0, "large", 0, 0, 9000));
+}
+
+static void lower_rate_is_in_force_everywhere(void **state)
+{
+	struct fixture *f = *state;
+	cg_ms until = cg_clock_now(&f->clk) + 1000;
+	int admitted = 0;
+
+	while (cg_clock_now(&f->clk) < until)
+		take(f, 1 + (int)(cg_clock_now(&f->clk) % 3), 0);
+	for (int i = 0; i < NODES; i++) {
+		f->node[i].docs.config = &f->slower;
+		f->node[i].docs.version = 2;
+	}
+	cg_sleep(1500);
+	until = cg_clock_now(&f->clk) + 2000;
+	while (cg_clock_now(&f->clk) < until) {
+		admitted +=
+			take(f, 1 + (int)(until % 3), 0) == CG_RATE_ADMITTED;
+		cg_sleep(2);
+	}
+	printf("admitted %d in 2 s after the rate fell to 30/s\n", admitted);
+	assert_true(admitted <= 20 + 30 * 2 + 3);
+	for (int i = 0; i < NODES; i++) {
+		f->node[i].docs.config = &f->config;
+		f->node[i].docs.version = 3;
+	}
+	cg_sleep(200);
+}
+
+static void silent_coordinator_is_unavailable_in_time(void **state)
+{
+	struct fixture *f = *state;
+	cg_ms start;
+
+	wait_for_holders(f, 0, "small", 0, 0, 9000);
+	cg_sleep(300);
+	f->node[0].mute = true;
+	start = cg_clock_now(&f->clk);
+	assert_int_equal(take(f, 2, 1), CG_RATE_UNAVAILABLE);
+	assert_in_range(cg_clock_now(&f->clk) - start, 0, 200 + 150);
+	f->node[0].mute = false;
+	cg_sleep(1200);
+	assert_int_equal(take(f, 2, 1), CG_RATE_ADMITTED);
+}
+
+static void set_owner(struct fixture *f, int owner, uint64_t epoch)
+{
+	for (int i = 0; i < NODES; i++) {
+		struct cg_shards *s = &f->node[i].shards;
+
+		pthread_mutex_lock(&s->lock);
+		s->owner = owner;
+		s->epoch = epoch;
+		pthread_mutex_unlock(&s->lock);
+	}
+}
+
+static bool becomes_active(struct fixture *f, int node, int account, int ms)
+{
+	cg_ms until = cg_clock_now(&f->clk) + ms;
+
+	while (cg_clock_now(&f->clk) < until) {
+		if (take(f, node, account) == CG_RATE_ADMITTED)
+			return true;
+		cg_sleep(50);
+	}
+	return false;
+}
+
+static void handed_over_ledger_needs_no_survey(void **state)
+{
+	struct fixture *f = *state;
+	uint64_t surveys = cg_counter_read(CG_COUNTER_RATE_SURVEYS);
+	int64_t held;
+
+	for (int i = 0; i < 300; i++) {
+		take(f, 2, 0);
+		cg_sleep(5);
+	}
+	held = ledger_value(f, 0, "large", "holders");
+	assert_true(held >= 1);
+	set_owner(f, 1, 2);
+	assert_true(becomes_active(f, 3, 1, 1900));
+	assert_int_equal(ledger_value(f, 1, "large", "holders"), held);
+	assert_int_equal(ledger_value(f, 0, "large", "holders"), -1);
+	assert_int_equal(cg_counter_read(CG_COUNTER_RATE_SURVEYS), surveys);
+}
+
+/* Entry-1 coordinates and stops answering; entry-2 claims its shards once the
+ * list shows that it is gone. */
+static void survey_after_the_coordinator_is_gone(void **state)
+{
+	struct fixture *f = *state;
+	cg_ms start;
+
+	for (int i = 0; i < 300; i++) {
+		take(f, 3, 0);
+		cg_sleep(5);
+	}
+	f->node[1].mute = true;
+	for (int i = 0; i < NODES; i++) {
+		struct cg_members *m = &f->node[i].members;
+
+		pthread_mutex_lock(&m->lock);
+		m->all[1].state = CG_MEMBER_GONE;
+		m->generation++;
+		pthread_mutex_unlock(&m->lock);
+	}
+	start = cg_clock_now(&f->clk);
+	/* Entry-1 does not see the new map, so it hands nothing over. */
+	pthread_mutex_lock(&f->node[1].shards.lock);
+	f->node[1].shards.owner = 1;
+	f->node[1].shards.epoch = 2;
+	pthread_mutex_unlock(&f->node[1].shards.lock);
+	stop_node(&f->node[1]);
+	set_owner(f, 2, 3);
+	while (cg_clock_now(&f->clk) < start + 4500) {
+		take(f, 3, 0);
+		cg_sleep(5);
+	}
+	assert_int_not_equal(take(f, 0, 1), CG_RATE_ADMITTED);
+	assert_true(becomes_active(f, 0, 1, 6000));
+	assert_in_range(cg_clock_now(&f->clk) - start, 5000, 12000);
+	assert_true(ledger_value(f, 2, "large", "holders") >= 1);
+}
+
+static void stopped_instance_returns_its_holdings(void **state)
+{
+	struct fixture *f = *state;
+
+	for (int i = 0; i < 200; i++) {
+		take(f, 3, 0);
+		cg_sleep(5);
+	}
+	assert_true(wait_for_holders(f, 2, "large", 1, NODES, 2000));
+	stop_node(&f->node[3]);
+	assert_int_equal(ledger_value(f, 2, "large", "holders"), 0);
+}
+
+static void malformed_messages_are_refused(void **state)
+{
+	struct fixture *f = *state;
+	struct cg_peer_msg m = { .sender = "entry-9", .incarnation = 1 };
+	GByteArray *reply = g_byte_array_new();
+	uint8_t body[200];
+	uint32_t seed = 5;
+
+	for (int round = 0; round < 20000; round++) {
+		for (size_t k = 0; k < sizeof(body); k++) {
+			seed = seed * 1664525 + 1013904223;
+			body[k] = seed >> 30 ? 0 : (uint8_t)(seed >> 16);
+		}
+		m.kind = CG_MSG_RATE_ASK + round % 4;
+		m.body = body;
+		m.len = (seed >> 8) % sizeof(body) / 4 * 4;
+		cg_rates_handle(f->node[0].rates, &m, reply);
+		g_byte_array_set_size(reply, 0);
+	}
+	m.kind = CG_MSG_GOSSIP;
+	assert_int_equal(cg_rates_handle(f->node[0].rates, &m, reply), -1);
+	g_byte_array_unref(reply);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(first_request_is_admitted_anywhere),
+		cmocka_unit_test(unknown_or_empty_accounts_are_refused),
+		cmocka_unit_test(concurrent_load_stays_within_the_limit),
+		cmocka_unit_test(local_path_allocates_nothing),
+		cmocka_unit_test(idle_holdings_return),
+		cmocka_unit_test(lower_rate_is_in_force_everywhere),
+		cmocka_unit_test(silent_coordinator_is_unavailable_in_time),
+		cmocka_unit_test(handed_over_ledger_needs_no_survey),
+		cmocka_unit_test(survey_after_the_coordinator_is_gone),
+		cmocka_unit_test(stopped_instance_returns_its_holdings),
+		cmocka_unit_test(malformed_messages_are_refused),
+	};
+
+	return cmocka_run_group_tests(tests, setup, teardown);
+}
