--- a/include/celeryglade/ejection.h
+++ b/include/celeryglade/ejection.h
@@ -128,7 +128,8 @@
 /** Rises with each change of the verdicts. */
 uint64_t cg_ejection_version(const struct cg_ejection *e);
 
-/** Whether some server is suspect, so that digests are wanted every second. */
+/** Whether some server is suspect and may yet be ejected, so that digests are
+ * wanted every second. */
 bool cg_ejection_watching(const struct cg_ejection *e);
 
 /** Failure ratio of the whole service, at least CG_CUSUM_P0_MIN. */
--- a/src/control/ejection_evidence.c
+++ b/src/control/ejection_evidence.c
@@ -41,6 +41,10 @@
 #define STEP_SHARE 0.5
 #define TOP_SHARE  1.25
 
+/* Digests of all daemons with traffic arrive within 15 s. Until then a new
+ * coordinator cannot know that fewer daemons than the rules ask for exist. */
+#define REPORTERS_KNOWN_MS 20000
+
 struct totals {
 	double tick_bad, tick_good;
 	double recent_bad, recent_good;
@@ -204,13 +208,24 @@
 		fade(&e->list[i], now, elapsed);
 }
 
+void cg_ejection_needed(const struct cg_ejection *e, unsigned int *daemons,
+			unsigned int *domains)
+{
+	*daemons = e->rules.min_daemons;
+	*domains = e->rules.min_domains;
+	if (e->ticked - e->created < REPORTERS_KNOWN_MS)
+		return;
+	*daemons = MIN(*daemons, e->active_daemons);
+	*domains = MIN(*domains, e->active_domains);
+}
+
 bool cg_ejection_supported(const struct cg_ejection *e, const struct entry *s)
 {
-	unsigned int daemons, domains;
+	unsigned int daemons, domains, need_daemons, need_domains;
 
 	cg_witnesses_count(&s->witnesses, WITNESS_RATIO, &daemons, &domains);
-	return daemons >= MIN(e->rules.min_daemons, e->active_daemons) &&
-	       domains >= MIN(e->rules.min_domains, e->active_domains) &&
+	cg_ejection_needed(e, &need_daemons, &need_domains);
+	return daemons >= need_daemons && domains >= need_domains &&
 	       daemons > 0;
 }
 
--- a/src/control/ejection_internal.h
+++ b/src/control/ejection_internal.h
@@ -92,6 +92,9 @@
 /* ejection_evidence.c: adds the tick's observations to the sums. */
 void cg_ejection_weigh(struct cg_ejection *e, cg_ms now, cg_ms elapsed);
 bool cg_ejection_supported(const struct cg_ejection *e, const struct entry *s);
+/* Daemons and failure domains that must support an ejection now. */
+void cg_ejection_needed(const struct cg_ejection *e, unsigned int *daemons,
+			unsigned int *domains);
 void cg_ejection_forget(struct entry *s);
 
 #endif
--- a/src/control/ejection_report.c
+++ b/src/control/ejection_report.c
@@ -43,7 +43,10 @@
 	for (size_t i = 0; i < e->n; i++) {
 		const struct entry *s = &e->list[i];
 
-		if (s->phase != CG_PHASE_IN || s->unconfirmed ||
+		/* A denied ejection can last for hours; at the target, digests
+		 * every second for each would exceed a daemon's share of the
+		 * network. */
+		if (s->phase == CG_PHASE_IN && s->denial == CG_DENIED_NOTHING &&
 		    s->cusum.sum >= e->rules.threshold / 4)
 			return true;
 	}
@@ -103,8 +106,7 @@
 	out->reference = s->p0;
 	out->slow_limit = s->slow_limit;
 	out->denial = s->denial;
-	out->daemons_needed = MIN(e->rules.min_daemons, e->active_daemons);
-	out->domains_needed = MIN(e->rules.min_domains, e->active_domains);
+	cg_ejection_needed(e, &out->daemons_needed, &out->domains_needed);
 	explain_witnesses(
 		e, s->phase == CG_PHASE_IN ? &s->witnesses : &s->ejected_by,
 		out);
--- a/src/control/health.c
+++ b/src/control/health.c
@@ -156,9 +156,10 @@
 static void local_tick(struct health_service *svc, cg_ms now)
 {
 	struct cg_ejection_capacity c;
+	struct cg_verdict avoided;
 
 	if (now - ACTIVE_MS > svc->traffic_at &&
-	    !cg_ejection_watching(svc->local))
+	    !cg_ejection_verdicts(svc->local, now, &avoided, 1))
 		return;
 	cg_ejection_tick(svc->local, now);
 	cg_ejection_capacity(svc->local, now, &c);
--- a/src/control/health_digest.c
+++ b/src/control/health_digest.c
@@ -15,6 +15,9 @@
 #define INTERVAL_PER_SERVICE_MS 250
 #define INTERVAL_MIN_MS		1000
 #define INTERVAL_MAX_MS		15000
+/* Verdicts are renewed so often within their time to live, so that lost
+ * datagrams do not end them. */
+#define RENEWALS 4
 
 /* A service in a digest, as remembered until its reply. */
 struct piece {
@@ -277,11 +280,16 @@
 {
 	struct cg_health *h = b->h;
 	struct cg_shard_owner owner;
-	bool wanted = svc->unsent || (svc->held.n && now < svc->held.until) ||
-		      svc->coordinator;
+	bool holds = svc->held.n && now < svc->held.until;
+	cg_ms interval = b->interval;
 
-	if (!wanted || (!svc->watch && !svc->coordinator &&
-			now - b->interval < svc->contact_at))
+	if (!svc->unsent && !holds && !svc->coordinator)
+		return;
+	if (holds)
+		interval =
+			MIN(interval, h->settings->verdict_ttl_ms / RENEWALS);
+	if (!svc->watch && !svc->coordinator &&
+	    now - interval < svc->contact_at)
 		return;
 	svc->contact_at = now;
 	svc->unsent = 0;
--- a/tests/support/health_sim.c
+++ b/tests/support/health_sim.c
@@ -8,9 +8,8 @@
 #define TTL_MS	   30000
 #define EJECT_MS   10000
 #define TIMEOUT_MS 10000
-/* As the controller: a digest is due with so many observations or this age. */
-#define DIGEST_OBSERVATIONS 16
-#define DIGEST_AGE_MS	    1000
+/* As the controller with up to four active services. */
+#define DIGEST_AGE_MS 1000
 /* Envelope, RPC and UDP headers of a digest and of its reply. */
 #define DATAGRAM_OVERHEAD 190
 #define REPLY_BYTES	  200
@@ -392,8 +391,9 @@
 			const struct cg_ejection_server *described)
 {
 	struct cg_ejection_server list[SIM_SERVERS_MAX];
-	bool due = m->unsent_n + m->fresh_n >= DIGEST_OBSERVATIONS ||
-		   s->now - m->contact_at >= s->digest_ms || m->fetch;
+	cg_ms interval =
+		m->verdict_n ? MIN(s->digest_ms, TTL_MS / 4) : s->digest_ms;
+	bool due = s->now - m->contact_at >= interval || m->fetch;
 
 	memcpy(list, described, s->servers * sizeof(*list));
 	collect(s, m);
--- a/tests/test_ejection.c
+++ b/tests/test_ejection.c
@@ -250,6 +250,39 @@
 	cg_ejection_free(f.e);
 }
 
+/* A coordinator that has just started has heard of few daemons yet; a single
+ * one that cannot reach a server must not be taken for all there are. */
+static void first_reporter_alone_ejects_nothing(void **state)
+{
+	struct fixture f;
+	int out = 0;
+
+	set_up(&f, 50, false);
+	for (int t = 1; t <= 30 && !out; t++) {
+		uint32_t id;
+
+		f.now += 1000;
+		cg_ejection_report(f.e, "a1", 1, "a", ++f.sequence, f.now, &id);
+		for (int i = 0; i < 5; i++) {
+			struct cg_sample s = { 0 };
+
+			if (i == 0)
+				s.failed = 5;
+			else
+				s.answered[20] = 5;
+			cg_ejection_observe(f.e, id,
+					    cg_server_id(f.list[i].name), &s,
+					    f.now);
+		}
+		cg_ejection_tick(f.e, f.now);
+		if (phase(&f, 0) == CG_PHASE_EJECTED)
+			out = t;
+	}
+	/* It is alone, as the first minute of traffic shows. */
+	assert_in_range(out, 20, 22);
+	cg_ejection_free(f.e);
+}
+
 static void state_survives_a_new_configuration(void **state)
 {
 	struct fixture f;
@@ -278,6 +311,7 @@
 			reinstated_server_counts_as_out_until_confirmed),
 		cmocka_unit_test(relapse_doubles_the_eject_time),
 		cmocka_unit_test(surveying_coordinator_ejects_nothing),
+		cmocka_unit_test(first_reporter_alone_ejects_nothing),
 		cmocka_unit_test(state_survives_a_new_configuration),
 	};
 
