--- a/src/control/health.c
+++ b/src/control/health.c
@@ -156,9 +156,10 @@
 static void local_tick(struct health_service *svc, cg_ms now)
 {
 	struct cg_ejection_capacity c;
+	struct cg_verdict avoided;
 
 	if (now - ACTIVE_MS > svc->traffic_at &&
-	    !cg_ejection_watching(svc->local))
+	    !cg_ejection_verdicts(svc->local, now, &avoided, 1))
 		return;
 	cg_ejection_tick(svc->local, now);
 	cg_ejection_capacity(svc->local, now, &c);
@@ -198,6 +199,14 @@
 	g_hash_table_iter_init(&it, h->services);
 	while (g_hash_table_iter_next(&it, NULL, &v))
 		active += tick_service(h, v, b, now);
+	g_hash_table_iter_init(&it, h->services);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct health_service *svc = v;
+
+		pthread_mutex_lock(&svc->lock);
+		digest_join(b, svc, now);
+		pthread_mutex_unlock(&svc->lock);
+	}
 	digest_end(b);
 	pthread_rwlock_unlock(&h->table);
 	h->active_services = active;
