--- a/bench/bench_gossip.c
+++ b/bench/bench_gossip.c
@@ -333,6 +333,7 @@
 {
 	cg_ms took[CHANGES * MAX_DAEMONS];
 	size_t count = 0;
+	size_t middle;
 
 	*failed = 0;
 	for (uint64_t v = 2; v < 2 + CHANGES; v++) {
@@ -348,7 +349,8 @@
 		cg_sleep(500);
 	}
 	qsort(took, count, sizeof(*took), compare_ms);
-	*median = count ? (double)took[count / 2] / 1000 : 0;
+	middle = count / 2;
+	*median = count ? (double)took[middle] / 1000 : 0;
 	*worst = count ? (double)took[count - 1] / 1000 : 0;
 }
 
@@ -367,8 +369,10 @@
 	cg_clock_init_boot(&clk);
 	f->n = n;
 	f->base = test_ports(n + 1);
-	if (!f->base || spawn(f))
+	if (!f->base || spawn(f)) {
+		g_free(f);
 		return -1;
+	}
 	f->store = fake_store_start((uint16_t)(f->base + n));
 	if (!f->store)
 		goto out;
--- a/include/internal/rates.h
+++ b/include/internal/rates.h
@@ -44,9 +44,6 @@
 int cg_rates_handle(struct cg_rates *r, const struct cg_peer_msg *msg,
 		    GByteArray *reply);
 
-/** Explains an account to an operator. The caller owns the result. */
-struct json_object *cg_rates_status(struct cg_rates *r, const char *account);
-
 /**
  * Takes one request's worth from @p a, which stays valid until the result is
  * known (the caller holds its configuration). With WAIT, @p w belongs to the
