Fail readiness until the shard map is known

Cause: a daemon that had its configuration but no shard map reported ready and refused the first request of every account with rate_unavailable.

Ruled out: a longer rate wait; the map takes up to 1.5 s after the first start of a fleet.

Change: readiness needs the map; /-/ready and the summary say why a daemon is not ready.

--- a/include/internal/front.h
+++ b/include/internal/front.h
@@ -20,13 +20,11 @@
 void cg_front_free(struct cg_front *f);
 
 struct cg_admin;
-
-/** Answers whether the daemon is ready for callers. */
-typedef bool (*cg_ready_fn)(void *arg);
+struct cg_node;
 
 /** Starts the operators' listener: /-/ready, /-/live, /-/metrics. */
 struct cg_admin *cg_admin_new(const struct sockaddr_in *listen,
-			      cg_ready_fn ready, void *arg);
+			      struct cg_node *node);
 void cg_admin_free(struct cg_admin *a);
 
 #endif
--- a/include/internal/node.h
+++ b/include/internal/node.h
@@ -37,8 +37,9 @@
 /** Stops and frees all parts. */
 void cg_node_stop(struct cg_node *n);
 
-/** Whether callers should be sent here. */
-bool cg_node_ready(void *arg);
+/** Why callers should not be sent here, or NULL if they should; the string is
+ * static. */
+const char *cg_node_unready_reason(struct cg_node *n);
 
 /** Hands a message to the part that serves its kind; a cg_peer_handler with
  * the node as its argument. */
--- a/src/request/admin.c
+++ b/src/node/admin.c
@@ -1,4 +1,5 @@
 #include "internal/front.h"
+#include "internal/node.h"
 
 #include <microhttpd.h>
 #include <string.h>
@@ -7,8 +8,7 @@
 
 struct cg_admin {
 	struct MHD_Daemon *daemon;
-	cg_ready_fn ready;
-	void *arg;
+	struct cg_node *node;
 };
 
 static enum MHD_Result reply(struct MHD_Connection *conn, unsigned int status,
@@ -40,6 +40,17 @@
 	return rc;
 }
 
+static enum MHD_Result reply_ready(struct MHD_Connection *conn,
+				   const char *unready)
+{
+	char text[128];
+
+	if (!unready)
+		return reply(conn, MHD_HTTP_OK, "ready\n");
+	g_snprintf(text, sizeof(text), "not ready: %s\n", unready);
+	return reply(conn, MHD_HTTP_SERVICE_UNAVAILABLE, text);
+}
+
 static enum MHD_Result handle(void *cls, struct MHD_Connection *conn,
 			      const char *url, const char *method,
 			      const char *version, const char *data,
@@ -59,18 +70,15 @@
 		return reply_metrics(conn);
 	if (strcmp(url, "/-/ready") != 0)
 		return reply(conn, MHD_HTTP_NOT_FOUND, "not found\n");
-	if (a->ready(a->arg))
-		return reply(conn, MHD_HTTP_OK, "ready\n");
-	return reply(conn, MHD_HTTP_SERVICE_UNAVAILABLE, "not ready\n");
+	return reply_ready(conn, cg_node_unready_reason(a->node));
 }
 
 struct cg_admin *cg_admin_new(const struct sockaddr_in *listen,
-			      cg_ready_fn ready, void *arg)
+			      struct cg_node *node)
 {
 	struct cg_admin *a = g_new0(struct cg_admin, 1);
 
-	a->ready = ready;
-	a->arg = arg;
+	a->node = node;
 	a->daemon = MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD, 0, NULL,
 				     NULL, handle, a, MHD_OPTION_SOCK_ADDR,
 				     listen, MHD_OPTION_CONNECTION_TIMEOUT, 10U,
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -13,14 +13,22 @@
 #define DRAIN_POLL_MS	 20
 #define HOUSEKEEPING_MS	 1000
 
-bool cg_node_ready(void *arg)
+const char *cg_node_unready_reason(struct cg_node *n)
 {
-	struct cg_node *n = arg;
 	struct cg_proxy *p = &n->proxy;
 
-	return p->docs && !atomic_load(&p->stopping) &&
-	       cg_docs_version(p->docs, CG_DOC_ROOT) > 0 &&
-	       cg_trust_accepts_keys(p->settings, p->clk, p->docs, n->members);
+	if (atomic_load(&p->stopping))
+		return "shutting down";
+	if (cg_docs_version(p->docs, CG_DOC_ROOT) == 0)
+		return "no configuration yet";
+	/* Without a map no coordinator is known, and every first request of an
+	 * account would be refused. */
+	if (cg_shards_version(n->shards) == 0)
+		return "no shard map yet";
+	if (!cg_trust_accepts_keys(p->settings, p->clk, p->docs, n->members))
+		return "keys are stale: neither the store nor most members are "
+		       "heard";
+	return NULL;
 }
 
 static void make_incarnation(struct cg_node *n)
@@ -125,7 +133,7 @@
 
 static int start_listeners(struct cg_node *n)
 {
-	n->admin = cg_admin_new(&n->settings.admin, cg_node_ready, n);
+	n->admin = cg_admin_new(&n->settings.admin, n);
 	if (!n->admin) {
 		cg_error("cannot listen on the admin address");
 		return -1;
--- a/src/node/status.c
+++ b/src/node/status.c
@@ -38,6 +38,7 @@
 {
 	struct cg_proxy *p = &n->proxy;
 	struct json_object *o = json_object_new_object();
+	const char *unready = cg_node_unready_reason(n);
 	bool keys =
 		cg_trust_accepts_keys(p->settings, p->clk, p->docs, n->members);
 
@@ -48,7 +49,9 @@
 	add_write_id(n, o);
 	add_number(o, "shard_map_version", cg_shards_version(n->shards));
 	json_object_object_add(o, "ready",
-			       json_object_new_boolean(cg_node_ready(n)));
+			       json_object_new_boolean(unready == NULL));
+	if (unready)
+		add_text(o, "unready_reason", unready);
 	add_text(o, "keys", keys ? "accepting" : "stale");
 	add_number(o, "running", (uint64_t)atomic_load(&p->running));
 	json_object_object_add(o, "documents", cg_docs_status(p->docs));
