--- a/include/internal/shard_map.h
+++ b/include/internal/shard_map.h
@@ -57,10 +57,16 @@
 /**
  * Moves to self the shards that it may claim: its own ones of an earlier
  * incarnation at the same address, or at another one if it has moved, and those of owners that are gone, shared
- * among the eligible members. Returns the number of shards changed.
+ * among the eligible members. With @p all, self takes every shard whose owner is
+ * gone. Returns the number of shards changed.
  */
 size_t cg_shard_map_claim(struct cg_shard_map *m,
-			  const struct cg_map_member *members, size_t n);
+			  const struct cg_map_member *members, size_t n,
+			  bool all);
+
+/** Number of shards whose owner is gone. */
+size_t cg_shard_map_orphans(const struct cg_shard_map *m,
+			    const struct cg_map_member *members, size_t n);
 
 /**
  * Moves one shard from self to the eligible member with the fewest if self owns
--- a/src/control/shard_map.c
+++ b/src/control/shard_map.c
@@ -291,8 +291,23 @@
 		       : pick_by_weight(members, load, n, shard, lowest + 1);
 }
 
+size_t cg_shard_map_orphans(const struct cg_shard_map *m,
+			    const struct cg_map_member *members, size_t n)
+{
+	size_t count = 0;
+
+	for (size_t s = 0; s < CG_SHARDS; s++) {
+		size_t owner = find_member(members, n, m->shards[s].owner);
+
+		if (owner < n && members[owner].gone)
+			count++;
+	}
+	return count;
+}
+
 size_t cg_shard_map_claim(struct cg_shard_map *m,
-			  const struct cg_map_member *members, size_t n)
+			  const struct cg_map_member *members, size_t n,
+			  bool all)
 {
 	size_t self = find_self(members, n);
 	size_t *load;
@@ -316,7 +331,9 @@
 			continue;
 		/* Each member computes the whole plan and takes its own part,
 		 * so that two members rarely claim the same shard. */
-		to = pick_by_load(members, load, n, s);
+		to = all && members[self].eligible
+			     ? self
+			     : pick_by_load(members, load, n, s);
 		if (to == n)
 			continue;
 		load[to]++;
--- a/src/control/shards.c
+++ b/src/control/shards.c
@@ -23,6 +23,10 @@
 #define CREATE_WAIT_MS 5000
 #define RETRY_FIRST_MS 100
 #define RETRY_MAX_MS   2000
+/* Members may disagree for long on whether an owner is gone, as each must have
+ * read two versions of the list. Shards that their planned claimants leave for
+ * this time are taken by one that has the proof. */
+#define ORPHAN_WAIT_MS 5000
 #define CLAIM_ATTEMPTS 3
 #define MAX_MEMBERS    4096
 
@@ -49,6 +53,7 @@
 	bool leaving;
 	cg_ms started_at;
 	cg_ms rebalanced_at;
+	cg_ms orphans_until; /* When to take all that are left; 0: none. */
 
 	pthread_mutex_t wake_lock;
 	pthread_cond_t wake;
@@ -479,6 +484,22 @@
 	g_free(p);
 }
 
+/* Whether shards of dead owners have been left for too long. The random wait
+ * keeps members from claiming the same ones at the same time. */
+static bool orphans_are_due(struct cg_shards *s, const struct cg_shard_map *map,
+			    const struct cg_map_member *v, size_t n)
+{
+	cg_ms now = cg_clock_now(s->clk);
+
+	if (!cg_shard_map_orphans(map, v, n)) {
+		s->orphans_until = 0;
+		return false;
+	}
+	if (!s->orphans_until)
+		s->orphans_until = now + jitter(ORPHAN_WAIT_MS);
+	return now >= s->orphans_until;
+}
+
 static bool try_claim(struct cg_shards *s, const struct cg_map_member *v,
 		      size_t n)
 {
@@ -486,7 +507,8 @@
 	size_t claimed = 0;
 
 	if (!begin(s, p))
-		claimed = cg_shard_map_claim(&p->map, v, n);
+		claimed = cg_shard_map_claim(&p->map, v, n,
+					     orphans_are_due(s, &p->map, v, n));
 	if (claimed) {
 		cg_info("claiming %zu shards", claimed);
 		if (write_map(s, p, "claim", 0) == WRITE_RESOLVED)
