--- a/Makefile
+++ b/Makefile
@@ -49,8 +49,8 @@
 	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS)
 $(B)/tests/test_%: $(B)/tests/test_%.o $(TEST_LIB_SRC:%.c=$(B)/%.o) $(B)/libceleryglade.a
 	$(CC) $(SANFLAGS) -o $@ $^ $(CMOCKA) $(LDLIBS)
-$(B)/bench/%: $(B)/bench/%.o $(B)/libceleryglade.a
-	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS)
+$(B)/bench/%: $(B)/bench/%.o $(TEST_LIB_SRC:%.c=$(B)/%.o) $(B)/libceleryglade.a
+	$(CC) $(SANFLAGS) -o $@ $^ $(CMOCKA) $(LDLIBS)
 
 # rpcgen's output does not meet the project's own warnings.
 $(B)/src/rpc/gen/%.o: src/rpc/gen/%.c
--- a/tests/support/rate_trace.h
+++ b/tests/support/rate_trace.h
@@ -5,7 +5,7 @@
 #include "rate_replay.h"
 
 #define RR_MAX_DAEMONS 512
-#define RR_SHARDS      16
+#define RR_SHARDS      256
 
 struct rr_traffic {
 	cg_ms from;
