Tell daemons of an ejection at once

Cause: with evidence spread over 470 daemons most of the 15.5 s until the median daemon left out a server whose requests all fail was the wait for the answer to its next digest.

Change: after an ejection the coordinator sends a hint to each daemon that had traffic in the last minute; the daemon fetches the verdicts. Hints are submitted calls: cg_peer_send sends nothing, because libtirpc returns before sending when the timeout is zero (seen with strace; src/rpc/peer.c is left to its owner).

One hint costs about 250 bytes per daemon and ejection.

--- a/include/celeryglade/ejection.h
+++ b/include/celeryglade/ejection.h
@@ -128,6 +128,9 @@
 /** Rises with each change of the verdicts. */
 uint64_t cg_ejection_version(const struct cg_ejection *e);
 
+/** Whether the daemon had traffic in the last minute. */
+bool cg_ejection_is_reporter(const struct cg_ejection *e, const char *daemon);
+
 /** Whether some server is suspect and may yet be ejected, so that digests are
  * wanted every second. */
 bool cg_ejection_watching(const struct cg_ejection *e);
--- a/src/control/ejection.c
+++ b/src/control/ejection.c
@@ -176,6 +176,15 @@
 	return counted_before(r, sequence) ? -1 : 0;
 }
 
+bool cg_ejection_is_reporter(const struct cg_ejection *e, const char *daemon)
+{
+	uint32_t id = XXH32(daemon, strlen(daemon), 0);
+	const struct reporter *r =
+		g_hash_table_lookup(e->reporters, GUINT_TO_POINTER(id));
+
+	return r && r->traffic_at >= e->ticked - ACTIVE_MS;
+}
+
 void cg_ejection_holds(struct cg_ejection *e, uint32_t reporter,
 		       uint64_t version, cg_ms now)
 {
--- a/src/control/health_coordinator.c
+++ b/src/control/health_coordinator.c
@@ -11,6 +11,8 @@
 #define SURVEY_AGAIN_MS 2000
 /* Questions to members per service and tick; the transport has few threads. */
 #define SURVEY_PER_TICK 64
+/* Hints of an ejection per service and tick. */
+#define HINTS_PER_TICK 256
 
 struct question {
 	struct cg_health *h;
@@ -43,6 +45,9 @@
 	if (svc->survey)
 		g_array_unref(svc->survey);
 	svc->survey = NULL;
+	if (svc->hints)
+		g_array_unref(svc->hints);
+	svc->hints = NULL;
 }
 
 static void start_survey(struct cg_health *h, struct health_service *svc)
@@ -156,7 +161,7 @@
 		.service = svc->name,
 		.failure_domain = (char *)h->settings->failure_domain,
 		.epoch = cg_ejection_epoch(svc->coordinator),
-		.survey = TRUE,
+		.mode = CG_X_VERDICTS_SURVEY,
 	};
 	struct question *q = g_new0(struct question, 1);
 	GByteArray *body = g_byte_array_new();
@@ -230,6 +235,57 @@
 		   &svc->counted_returns);
 }
 
+static void start_hints(struct cg_health *h, struct health_service *svc)
+{
+	size_t max = cg_members_count(h->members) + 16;
+	struct cg_member *m = g_new(struct cg_member, max);
+	size_t n = cg_members_copy(h->members, m, max);
+
+	if (svc->hints)
+		g_array_unref(svc->hints);
+	svc->hints = g_array_new(FALSE, FALSE, sizeof(struct sockaddr_in));
+	for (size_t i = 0; i < n; i++)
+		if (cg_ejection_is_reporter(svc->coordinator, m[i].name))
+			g_array_append_val(svc->hints, m[i].addr);
+	g_free(m);
+}
+
+static void hint_done(void *arg, int rc, const GByteArray *reply)
+{
+	health_call_done(arg);
+}
+
+/* With few requests per daemon the next digest, and so the news of a verdict,
+ * can be 20 s away. A lost hint is made good by the answer to that digest. */
+static void hint_tick(struct cg_health *h, struct health_service *svc)
+{
+	cg_x_verdicts_request x = {
+		.service = svc->name,
+		.failure_domain = (char *)h->settings->failure_domain,
+		.epoch = cg_ejection_epoch(svc->coordinator),
+		.mode = CG_X_VERDICTS_HINT,
+	};
+	GByteArray *body;
+
+	if (!svc->hints)
+		return;
+	body = g_byte_array_new();
+	cg_xdr_encode((xdrproc_t)xdr_cg_x_verdicts_request, &x, body);
+	for (int i = 0; i < HINTS_PER_TICK && svc->hints->len; i++) {
+		guint last = svc->hints->len - 1;
+
+		health_call(
+			h, &g_array_index(svc->hints, struct sockaddr_in, last),
+			CG_MSG_GET_VERDICTS, body, hint_done, h);
+		g_array_set_size(svc->hints, last);
+	}
+	g_byte_array_unref(body);
+	if (svc->hints->len)
+		return;
+	g_array_unref(svc->hints);
+	svc->hints = NULL;
+}
+
 static void describe_to_fleet(struct health_service *svc, cg_ms now)
 {
 	struct cg_ejection_server *list =
@@ -251,6 +307,7 @@
 		      cg_ms now)
 {
 	struct cg_shard_owner owner;
+	uint64_t ejections;
 
 	if (cg_shards_owner(h->shards, svc->shard, &owner) || !owner.self) {
 		coordinator_stop(svc);
@@ -262,7 +319,11 @@
 	describe_to_fleet(svc, now);
 	survey_tick(h, svc, now);
 	cg_ejection_tick(svc->coordinator, now);
+	ejections = svc->counted_ejections;
 	count_decisions(svc, now);
+	if (svc->counted_ejections > ejections)
+		start_hints(h, svc);
+	hint_tick(h, svc);
 }
 
 int coordinator_digest(struct cg_health *h, struct health_service *svc,
--- a/src/control/health_handle.c
+++ b/src/control/health_handle.c
@@ -115,6 +115,34 @@
 	return 0;
 }
 
+/* The hint comes from a client socket; the shard map knows the address. */
+static int take_hint(struct cg_health *h, struct health_service *svc,
+		     const cg_x_verdicts_request *q)
+{
+	struct cg_shard_owner owner;
+
+	if (q->epoch >= svc->least_epoch &&
+	    !cg_shards_owner(h->shards, svc->shard, &owner) && !owner.self)
+		verdicts_fetch(h, svc, &owner.addr);
+	return 0;
+}
+
+static int answer_verdicts(struct cg_health *h, struct health_service *svc,
+			   const struct cg_peer_msg *msg,
+			   const cg_x_verdicts_request *q,
+			   cg_x_verdicts_reply *r, cg_ms now)
+{
+	switch (q->mode) {
+	case CG_X_VERDICTS_FETCH:
+		return answer_fetch(svc, msg, q, r, now);
+	case CG_X_VERDICTS_SURVEY:
+		return answer_survey(svc, q, r, now);
+	case CG_X_VERDICTS_HINT:
+		return take_hint(h, svc, q);
+	}
+	return -1;
+}
+
 static int handle_verdicts(struct cg_health *h, const struct cg_peer_msg *msg,
 			   GByteArray *reply)
 {
@@ -132,10 +160,9 @@
 	svc = g_hash_table_lookup(h->services, q.service);
 	if (svc) {
 		pthread_mutex_lock(&svc->lock);
-		rc = q.survey ? answer_survey(svc, &q, &r, now)
-			      : answer_fetch(svc, msg, &q, &r, now);
+		rc = answer_verdicts(h, svc, msg, &q, &r, now);
 		pthread_mutex_unlock(&svc->lock);
-	} else if (q.survey) {
+	} else if (q.mode == CG_X_VERDICTS_SURVEY) {
 		/* A service that is not configured here has no verdicts. */
 		rc = 0;
 	}
--- a/src/control/health_internal.h
+++ b/src/control/health_internal.h
@@ -86,6 +86,7 @@
 	struct cg_ejection *coordinator;
 	struct cg_ejection_server *fleet_list;
 	GArray *survey;
+	GArray *hints; /* Addresses that are still to be told. */
 	uint64_t counted_ejections, counted_floor, counted_evidence,
 		counted_returns;
 	uint64_t counted_local;
@@ -135,6 +136,10 @@
 void verdicts_adopt(struct cg_health *h, struct health_service *svc,
 		    uint64_t epoch, uint64_t version,
 		    const struct cg_verdict *list, size_t n, cg_ms until);
+/** Asks the coordinator for its verdicts, unless already under way. Service
+ * locked. */
+void verdicts_fetch(struct cg_health *h, struct health_service *svc,
+		    const struct sockaddr_in *owner);
 /** Publishes weights to the request path. Service locked. */
 void health_publish(struct cg_health *h, struct health_service *svc, cg_ms now);
 /** Applies a coordinator's answer to a digest sent at @p sent_at while the
--- a/src/control/health_verdicts.c
+++ b/src/control/health_verdicts.c
@@ -199,16 +199,20 @@
 	health_call_done(h);
 }
 
-static void fetch_verdicts(struct cg_health *h, struct health_service *svc,
-			   const struct sockaddr_in *owner)
+void verdicts_fetch(struct cg_health *h, struct health_service *svc,
+		    const struct sockaddr_in *owner)
 {
 	cg_x_verdicts_request q = {
 		.service = svc->name,
 		.failure_domain = (char *)h->settings->failure_domain,
 	};
-	struct fetch *f = g_new0(struct fetch, 1);
-	GByteArray *body = g_byte_array_new();
+	struct fetch *f;
+	GByteArray *body;
 
+	if (svc->fetching)
+		return;
+	f = g_new0(struct fetch, 1);
+	body = g_byte_array_new();
 	f->h = h;
 	g_strlcpy(f->service, svc->name, sizeof(f->service));
 	f->sent_at = cg_clock_now(h->clk);
@@ -240,6 +244,6 @@
 				       sent_at + h->settings->verdict_ttl_ms);
 		return;
 	}
-	if (!svc->fetching && owner)
-		fetch_verdicts(h, svc, owner);
+	if (owner)
+		verdicts_fetch(h, svc, owner);
 }
--- a/src/rpc/gen/health_wire.h
+++ b/src/rpc/gen/health_wire.h
@@ -56,11 +56,18 @@
 };
 typedef struct cg_x_health_reply cg_x_health_reply;
 
+enum cg_x_verdicts_mode {
+	CG_X_VERDICTS_FETCH = 0,
+	CG_X_VERDICTS_SURVEY = 1,
+	CG_X_VERDICTS_HINT = 2,
+};
+typedef enum cg_x_verdicts_mode cg_x_verdicts_mode;
+
 struct cg_x_verdicts_request {
 	char *service;
 	char *failure_domain;
 	u_quad_t epoch;
-	bool_t survey;
+	cg_x_verdicts_mode mode;
 };
 typedef struct cg_x_verdicts_request cg_x_verdicts_request;
 
@@ -91,6 +98,7 @@
 extern  bool_t xdr_cg_x_health_digest (XDR *, cg_x_health_digest*);
 extern  bool_t xdr_cg_x_health_answer (XDR *, cg_x_health_answer*);
 extern  bool_t xdr_cg_x_health_reply (XDR *, cg_x_health_reply*);
+extern  bool_t xdr_cg_x_verdicts_mode (XDR *, cg_x_verdicts_mode*);
 extern  bool_t xdr_cg_x_verdicts_request (XDR *, cg_x_verdicts_request*);
 extern  bool_t xdr_cg_x_verdict (XDR *, cg_x_verdict*);
 extern  bool_t xdr_cg_x_verdicts_reply (XDR *, cg_x_verdicts_reply*);
@@ -100,6 +108,7 @@
 extern bool_t xdr_cg_x_health_digest ();
 extern bool_t xdr_cg_x_health_answer ();
 extern bool_t xdr_cg_x_health_reply ();
+extern bool_t xdr_cg_x_verdicts_mode ();
 extern bool_t xdr_cg_x_verdicts_request ();
 extern bool_t xdr_cg_x_verdict ();
 extern bool_t xdr_cg_x_verdicts_reply ();
--- a/src/rpc/gen/health_wire_xdr.c
+++ b/src/rpc/gen/health_wire_xdr.c
@@ -65,6 +65,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_cg_x_verdicts_mode (XDR *xdrs, cg_x_verdicts_mode *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_cg_x_verdicts_request (XDR *xdrs, cg_x_verdicts_request *objp)
 {
@@ -76,7 +86,7 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->survey))
+	 if (!xdr_cg_x_verdicts_mode (xdrs, &objp->mode))
 		 return FALSE;
 	return TRUE;
 }
--- a/src/rpc/health_wire.x
+++ b/src/rpc/health_wire.x
@@ -31,13 +31,20 @@
 	cg_x_health_answer services<CG_X_HEALTH_SERVICES>;
 };
 
-/* With survey, a new coordinator of that epoch asks for the verdicts that the
- * receiver holds; otherwise the receiver must be the coordinator. */
+/* FETCH asks the coordinator. With SURVEY a new coordinator of that epoch asks
+ * for the verdicts that the receiver holds. With HINT the coordinator tells
+ * that a server was ejected; the receiver fetches. */
+enum cg_x_verdicts_mode {
+	CG_X_VERDICTS_FETCH = 0,
+	CG_X_VERDICTS_SURVEY = 1,
+	CG_X_VERDICTS_HINT = 2
+};
+
 struct cg_x_verdicts_request {
 	string service<CG_X_HEALTH_NAME>;
 	string failure_domain<CG_X_HEALTH_NAME>;
 	unsigned hyper epoch;
-	bool survey;
+	cg_x_verdicts_mode mode;
 };
 
 struct cg_x_verdict {
--- a/tests/support/health_sim.c
+++ b/tests/support/health_sim.c
@@ -387,6 +387,16 @@
 				  cg_ejection_reference(s->coordinator));
 }
 
+/* After a hint: the verdicts without a digest. */
+static void fetch(struct sim *s, struct sim_daemon *m)
+{
+	uint32_t reporter;
+
+	cg_ejection_report(s->coordinator, m->name, 1, m->domain, 0, s->now,
+			   &reporter);
+	adopt(s, m, reporter);
+}
+
 static void daemon_tick(struct sim *s, struct sim_daemon *m,
 			const struct cg_ejection_server *described)
 {
@@ -399,6 +409,9 @@
 	collect(s, m);
 	if (due)
 		contact(s, m);
+	else if (m->hinted && !m->deaf && !s->silent)
+		fetch(s, m);
+	m->hinted = false;
 	for (size_t i = 0; i < s->servers; i++)
 		list[i].out_by_fleet =
 			fleet_weight(s, m, cg_server_id(list[i].name)) < 1000;
@@ -447,6 +460,8 @@
 		if (before[i] || !sim_ejected(s, i))
 			continue;
 		s->ejections++;
+		for (size_t d = 0; d < s->daemons; d++)
+			s->daemon[d].hinted = true;
 		if (!faulty(s, i))
 			s->fleet_false++;
 	}
--- a/tests/support/health_sim.h
+++ b/tests/support/health_sim.h
@@ -40,6 +40,7 @@
 	struct cg_verdict verdicts[SIM_SERVERS_MAX];
 	size_t verdict_n;
 	bool fetch;
+	bool hinted; /**< Told of an ejection. */
 	bool deaf; /**< Cannot reach the coordinator. */
 	uint32_t weight[SIM_SERVERS_MAX];
 	bool partition[SIM_SERVERS_MAX];
--- a/tests/test_health.c
+++ b/tests/test_health.c
@@ -384,13 +384,37 @@
 	}
 }
 
+/* A daemon whose next digest is far away learns of an ejection by a hint. */
+static void hint_reaches_a_daemon_between_digests(void **state)
+{
+	for (int i = 0; i < 20; i++)
+		second(0, 1);
+	for (int t = 0; t < 12 && weight(3, 0); t++) {
+		cg_clock_set(&fleet.clk, cg_clock_now(&fleet.clk) + 1000);
+		/* d3 sends nothing; the others see the server fail. */
+		for (int d = 0; d < 3; d++) {
+			cg_health_observe(fleet.node[d].health, server(0),
+					  CG_OBSERVED_FAILED, 1);
+			for (int i = 1; i < SERVERS; i++)
+				cg_health_observe(fleet.node[d].health,
+						  server(i), CG_OBSERVED_OK,
+						  20);
+		}
+		for (int d = 0; d < 3; d++)
+			cg_health_tick(fleet.node[d].health);
+		cg_sleep(50);
+		settle();
+	}
+	assert_int_equal(weight(3, 0), 0);
+}
+
 /* A member that answered the survey of epoch 3 adopts nothing of epoch 1. */
 static void older_coordinator_is_not_believed(void **state)
 {
 	cg_x_verdicts_request q = { .service = (char *)"slots",
 				    .failure_domain = (char *)"z0",
 				    .epoch = 3,
-				    .survey = TRUE };
+				    .mode = CG_X_VERDICTS_SURVEY };
 	GByteArray *body = g_byte_array_new(), *reply = g_byte_array_new();
 
 	for (int i = 0; i < 20; i++)
@@ -550,6 +574,7 @@
 		FLEET_TEST(fleet_ejects_and_takes_back),
 		FLEET_TEST(verdict_lapses_without_its_coordinator),
 		FLEET_TEST(next_coordinator_knows_the_verdicts),
+		FLEET_TEST(hint_reaches_a_daemon_between_digests),
 		FLEET_TEST(older_coordinator_is_not_believed),
 		FLEET_TEST(new_configuration_keeps_state),
 		FLEET_TEST(draining_server_gets_no_work),
