Stop fleets of failed system tests; make key tests independent

Cause: a failed rates test left its fleet running, so that the next one's daemons could not bind their ports; a failed keys test left its key revoked.

Change: a teardown per rates test; each keys test first puts its key in force.

Conclusion: one fault no longer fails the tests after it.

--- a/tests/test_system_keys.c
+++ b/tests/test_system_keys.c
@@ -123,10 +123,12 @@
 	json_object_put(sum);
 }
 
-static void grant_again(void)
+/* Puts the key in force everywhere, whatever an earlier test left. */
+static int grant(void **state)
 {
 	int64_t end = fleet_now() + 10000;
 
+	fleet_platform(f, "{\"down\":\"no\"}");
 	fleet_write_account(f, "acme", KEY, 1000, 1000);
 	assert_int_equal(fleet_apply(f), 0);
 	for (int i = 0; i < DAEMONS; i++)
@@ -134,12 +136,12 @@
 			assert_true(fleet_now() < end);
 			g_usleep(50000);
 		}
+	return 0;
 }
 
 static void store_reached_by_all(void **state)
 {
 	revoke_under_load(BY_CONFIG);
-	grant_again();
 }
 
 static void store_reached_by_some(void **state)
@@ -150,7 +152,6 @@
 	fleet_platform(f, cut);
 	revoke_under_load(BY_CONFIG);
 	fleet_platform(f, "{\"down\":\"no\"}");
-	grant_again();
 	g_free(cut);
 }
 
@@ -194,10 +195,10 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(store_reached_by_all),
-		cmocka_unit_test(store_reached_by_some),
-		cmocka_unit_test(cut_off_daemon_refuses_keys),
-		cmocka_unit_test(store_reached_by_none),
+		cmocka_unit_test_setup(store_reached_by_all, grant),
+		cmocka_unit_test_setup(store_reached_by_some, grant),
+		cmocka_unit_test_setup(cut_off_daemon_refuses_keys, grant),
+		cmocka_unit_test_setup(store_reached_by_none, grant),
 	};
 
 	return cmocka_run_group_tests(tests, setup, teardown);
--- a/tests/test_system_rates.c
+++ b/tests/test_system_rates.c
@@ -24,6 +24,8 @@
 	int64_t from_us, to_us;
 };
 
+static struct fleet *fleets[2];
+
 static void publish(struct fleet *f)
 {
 	fleet_backend(f, "rounds", 4, 20, "-t 2");
@@ -39,6 +41,7 @@
 {
 	struct fleet *f = fleet_new(base, 1);
 
+	fleets[fleets[0] != NULL] = f;
 	publish(f);
 	for (int i = 0; i < daemons; i++)
 		fleet_daemon(f, (const char *[]){ "a", "b", "c" }[i % 3], 0,
@@ -47,6 +50,16 @@
 	return f;
 }
 
+static int stop(void **state)
+{
+	for (int i = 0; i < 2; i++) {
+		if (fleets[i])
+			fleet_free(fleets[i]);
+		fleets[i] = NULL;
+	}
+	return 0;
+}
+
 static int by_end(const void *a, const void *b)
 {
 	const struct granted *x = a, *y = b;
@@ -114,8 +127,6 @@
 	printf("two separate fleets: excess %.1f\n", worst_excess(all));
 	assert_true(worst_excess(all) > RATE);
 	g_array_free(all, TRUE);
-	fleet_free(f[0]);
-	fleet_free(f[1]);
 }
 
 static void check_bound(struct fleet *f, int load, const char *account)
@@ -149,7 +160,6 @@
 	assert_int_equal(fleet_violations(l) + fleet_violations(s), 0);
 	json_object_put(l);
 	json_object_put(s);
-	fleet_free(f);
 }
 
 static void frozen_and_killed_daemons_keep_the_rate(void **state)
@@ -172,15 +182,15 @@
 	assert_true(fleet_number(sum, "answered") >= RATE * 12 * 4 / 10);
 	assert_int_equal(fleet_violations(sum), 0);
 	json_object_put(sum);
-	fleet_free(f);
 }
 
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(daemons_alone_exceed_the_rate),
-		cmocka_unit_test(healthy_fleet_keeps_the_rate),
-		cmocka_unit_test(frozen_and_killed_daemons_keep_the_rate),
+		cmocka_unit_test_teardown(daemons_alone_exceed_the_rate, stop),
+		cmocka_unit_test_teardown(healthy_fleet_keeps_the_rate, stop),
+		cmocka_unit_test_teardown(
+			frozen_and_killed_daemons_keep_the_rate, stop),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
