--- a/bench/bench_gossip.c
+++ b/bench/bench_gossip.c
@@ -172,17 +172,16 @@
 
 		if (socketpair(AF_UNIX, SOCK_SEQPACKET, 0, sv))
 			return -1;
+		f->fds[i] = sv[0];
 		f->pids[i] = fork();
 		if (f->pids[i] < 0)
 			return -1;
 		if (!f->pids[i]) {
-			for (int k = 0; k < i; k++)
+			for (int k = 0; k <= i; k++)
 				close(f->fds[k]);
-			close(sv[0]);
 			run_child(i, sv[1], f->base, f->n);
 		}
 		close(sv[1]);
-		f->fds[i] = sv[0];
 	}
 	return 0;
 }
@@ -349,9 +348,13 @@
 		cg_sleep(500);
 	}
 	qsort(took, count, sizeof(*took), compare_ms);
+	*median = 0;
+	*worst = 0;
+	if (!count)
+		return;
 	middle = count / 2;
-	*median = count ? (double)took[middle] / 1000 : 0;
-	*worst = count ? (double)took[count - 1] / 1000 : 0;
+	*median = (double)took[middle] / 1e3;
+	*worst = (double)took[count - 1] / 1e3;
 }
 
 static int measure(int n)
@@ -369,10 +372,8 @@
 	cg_clock_init_boot(&clk);
 	f->n = n;
 	f->base = test_ports(n + 1);
-	if (!f->base || spawn(f)) {
-		g_free(f);
-		return -1;
-	}
+	if (!f->base || spawn(f))
+		goto out;
 	f->store = fake_store_start((uint16_t)(f->base + n));
 	if (!f->store)
 		goto out;
@@ -400,9 +401,9 @@
 	fflush(stdout);
 	rc = 0;
 out:
-	for (int i = 0; i < n; i++)
+	for (int i = 0; i < n && f->pids[i] > 0; i++)
 		close(f->fds[i]);
-	for (int i = 0; i < n; i++)
+	for (int i = 0; i < n && f->pids[i] > 0; i++)
 		waitpid(f->pids[i], NULL, 0);
 	if (f->store)
 		fake_store_stop(f->store);
