Take free ports in the health controller's test

Cause: test_health bound fixed ports and failed while another run used them. Ruled out: a fault of the transport; bind returned EADDRINUSE (strace). Change: test_ports() as in the control plane's tests.

--- a/tests/test_health.c
+++ b/tests/test_health.c
@@ -15,12 +15,12 @@
 
 #include "health_wire.h"
 #include "internal/health.h"
+#include "support/ports.h"
 
-#define DAEMONS	   4
-#define SERVERS	   10
-#define BIG	   300
-#define FIRST_PORT 23400
-#define TTL	   30000
+#define DAEMONS 4
+#define SERVERS 10
+#define BIG	300
+#define TTL	30000
 
 /* Fakes. */
 struct cg_config {
@@ -61,6 +61,7 @@
 	_Atomic uint64_t epoch;
 	_Atomic size_t largest_digest;
 	int gone; /* A member that is gone, or -1. */
+	uint16_t ports; /* The first of DAEMONS free ones. */
 } fleet = { .config_lock = PTHREAD_MUTEX_INITIALIZER };
 
 struct cg_config *cg_docs_config(struct cg_docs *d)
@@ -219,7 +220,7 @@
 	n->settings.eject_ms = 10000;
 	n->members.self = i;
 	n->shards.self = i;
-	g_snprintf(text, sizeof(text), "127.0.0.1:%d", FIRST_PORT + i);
+	g_snprintf(text, sizeof(text), "127.0.0.1:%d", fleet.ports + i);
 	cg_parse_address(text, &n->addr);
 	n->peer = cg_peer_new(n->settings.instance, 100 + (uint64_t)i, secret,
 			      &n->addr);
@@ -240,6 +241,7 @@
 	fleet.epoch = 1;
 	fleet.gone = -1;
 	fleet.largest_digest = 0;
+	fleet.ports = test_ports(DAEMONS);
 	configure(1, SERVERS, 60);
 	for (int i = 0; i < DAEMONS; i++)
 		start_node(i);
