Put a written map in use before the old owner's hold is released

The replica raises its version before its listeners run; a handover that saw the new version released its hold while this daemon still used the old map, and acted as owner for a moment. The handover was not reported either. Ruled out: running listeners under the replica's lock; they call back into it. Change: the controller puts the map that it wrote or read back in use itself and waits for its own version. A write counts as not sent only if neon failed to connect or to resolve. Conclusion: a hold ends only with the new map in use.

--- a/src/control/shards.c
+++ b/src/control/shards.c
@@ -289,6 +289,15 @@
 	pthread_rwlock_unlock(&s->lock);
 }
 
+/* Adopts a map that this process wrote or read. The replica may have adopted it
+ * a moment ago in another thread whose listeners have not run yet, so it is put
+ * in use here as well. */
+static void take_map(struct cg_shards *s, GBytes *text, uint64_t store_version)
+{
+	cg_docs_put(s->docs, CG_DOC_SHARDS, text, store_version);
+	cg_shards_on_doc(s, CG_DOC_SHARDS, 0, text);
+}
+
 /* After a conflict the store holds a version above the proposal's base, either
  * our own write whose response was lost, or another writer's. A read that shows
  * the base is stale and is repeated. Returns 0 once a newer map is in use. */
@@ -302,11 +311,10 @@
 
 		if (cg_store_get(s->store, CG_SHARDS_OBJECT, &text,
 				 &store_version) == CG_STORE_OK) {
-			cg_docs_put(s->docs, CG_DOC_SHARDS, text,
-				    store_version);
+			take_map(s, text, store_version);
 			g_bytes_unref(text);
 		}
-		if (cg_docs_version(s->docs, CG_DOC_SHARDS) > p->base_version)
+		if (cg_shards_version(s) > p->base_version)
 			return 0;
 		if (!pause_for(s, jitter(backoff)))
 			return -1;
@@ -339,8 +347,7 @@
 		enum cg_store_result r = put_map(s, p, text, &store_version);
 
 		if (r == CG_STORE_OK) {
-			cg_docs_put(s->docs, CG_DOC_SHARDS, text,
-				    store_version);
+			take_map(s, text, store_version);
 			result = WRITE_RESOLVED;
 			break;
 		}
--- a/src/control/store.c
+++ b/src/control/store.c
@@ -188,6 +188,7 @@
 	return n == 0 ? 0 : -1;
 }
 
+/* Returns neon's result code. */
 static int dispatch(struct cg_store *s, ne_request *req, struct call *c)
 {
 	cg_ms end =
@@ -198,12 +199,12 @@
 		g_byte_array_set_size(c->body, 0);
 		rc = ne_begin_request(req);
 		if (rc != NE_OK)
-			return -1;
+			return rc;
 		if (read_body(s, req, c, end))
-			return -1;
+			return NE_ERROR;
 		rc = ne_end_request(req);
 	} while (rc == NE_RETRY && !c->write);
-	return rc == NE_OK ? 0 : -1;
+	return rc;
 }
 
 static void run(struct cg_store *s, struct call *c)
@@ -225,8 +226,9 @@
 	if (c->write)
 		ne_set_request_flag(req, NE_REQFLAG_IDEMPOTENT, 0);
 	rc = dispatch(s, req, c);
-	c->sent = ss->connected;
-	if (!rc) {
+	/* Only a failure to connect proves that nothing was sent. */
+	c->sent = ss->connected || (rc != NE_CONNECT && rc != NE_LOOKUP);
+	if (rc == NE_OK) {
 		c->status = ne_get_status(req)->code;
 		read_version(req, c);
 	} else {
