Test that a handover uses its map before the replica's listeners run

Cause: the fault that let two daemons act for one shard was seen by chance only. Ruled out: relying on test_fleet, which shows it in one of six runs. Conclusion: the fault is guarded against without chance.

--- a/tests/test_shards.c
+++ b/tests/test_shards.c
@@ -508,6 +508,22 @@
 	assert_false(f->acted);
 }
 
+/* The replica raises its version before its listeners run. A controller whose
+ * listener has not run must not act on the old map after a handover. */
+static void map_is_in_use_before_listeners_run(void **state)
+{
+	struct fixture *f = *state;
+	struct cg_shards *own = cg_shards_new(
+		&f->a.set, 1, &f->a.clk, f->a.store, f->a.docs, f->a.members);
+
+	meet(f);
+	cg_shards_step(own);
+	assert_int_equal(cg_shards_owned(own), 128);
+	assert_int_equal(cg_shards_leave(own, 2000), 0);
+	assert_int_equal(cg_shards_owned(own), 0);
+	cg_shards_free(own);
+}
+
 /* A handover whose outcome is unknown must not let the old owner act again. */
 static void open_handover_stops_the_owner(void **state)
 {
@@ -609,6 +625,7 @@
 		T(restart_takes_a_new_epoch),
 		T(leaver_hands_over),
 		T(lost_handover_is_read_back),
+		T(map_is_in_use_before_listeners_run),
 		T(open_handover_stops_the_owner),
 		T(refused_handover_keeps_the_owner),
 		T(conflict_with_a_stale_read_is_repeated),
