--- a/src/control/rate_asks.c
+++ b/src/control/rate_asks.c
@@ -8,10 +8,15 @@
 
 /* A coordinator that did not answer three calls is left alone for a while, so
  * that calls to it do not fill the transport's threads. */
-#define FAILURES      3
-#define SILENT_MS     200
-#define REPORT_WAIT   300
-#define STOP_ATTEMPTS 3
+#define FAILURES  3
+#define SILENT_MS 200
+/* A coordinator that failed before gets a shorter call, and a round of reports
+ * ends in time, so that many silent ones do not delay the reports to others. */
+#define REPORT_CALL_MS	     300
+#define REPORT_SHORT_CALL_MS 50
+#define REPORT_ROUND_MS	     1000
+#define STOP_ROUND_MS	     5000
+#define STOP_ATTEMPTS	     3
 
 enum cg_rate_result rate_without_answer(const struct rate_entry *e)
 {
@@ -418,17 +423,33 @@
 	pthread_mutex_unlock(&sh->lock);
 }
 
-static int call_batch(struct cg_rates *r, const struct sockaddr_in *to,
+static cg_ms report_timeout(struct cg_rates *r, const struct cg_shard_owner *o,
+			    struct rate_link **link)
+{
+	cg_ms ms;
+
+	pthread_mutex_lock(&r->links_lock);
+	*link = get_link(r, o);
+	ms = (*link)->failures ? REPORT_SHORT_CALL_MS : REPORT_CALL_MS;
+	pthread_mutex_unlock(&r->links_lock);
+	return ms;
+}
+
+static int call_batch(struct cg_rates *r, const struct cg_shard_owner *o,
 		      GArray *items, bool stop)
 {
+	struct rate_link *link;
+	cg_ms timeout = report_timeout(r, o, &link);
 	GByteArray *body = encode_asks(r, items);
 	GByteArray *reply = g_byte_array_new();
 	int rc = -1;
 
-	if (body->len)
-		rc = cg_peer_call(r->peer, to,
+	if (body->len) {
+		rc = cg_peer_call(r->peer, &o->addr,
 				  stop ? CG_MSG_RATE_RETURN : CG_MSG_RATE_ASK,
-				  body->data, body->len, REPORT_WAIT, reply);
+				  body->data, body->len, timeout, reply);
+		note_result(r, link, rc);
+	}
 	if (!rc)
 		rc = apply_reply(r, items, reply);
 	g_byte_array_unref(body);
@@ -455,7 +476,7 @@
 		g_array_append_vals(
 			items, &g_array_index(batch, struct rate_item, i), n);
 		for (int k = 0; rc && k < (stop ? STOP_ATTEMPTS : 1); k++)
-			rc = call_batch(r, &o.addr, items, stop);
+			rc = call_batch(r, &o, items, stop);
 		g_array_free(items, TRUE);
 		if (rc) {
 			if (stop)
@@ -477,6 +498,9 @@
 {
 	GHashTable *batches = g_hash_table_new_full(g_str_hash, g_str_equal,
 						    g_free, free_batch);
+	cg_ms until =
+		cg_clock_now(r->clk) + (stop ? STOP_ROUND_MS : REPORT_ROUND_MS);
+	GPtrArray *order = g_ptr_array_new();
 	GHashTableIter it;
 	GArray *batch;
 
@@ -484,6 +508,15 @@
 		gather(r, s, stop, batches);
 	g_hash_table_iter_init(&it, batches);
 	while (g_hash_table_iter_next(&it, NULL, (void **)&batch))
-		send_batch(r, batch, stop);
+		g_ptr_array_add(order, batch);
+	/* Each round begins with another coordinator, since it may not get to
+	 * the last one. */
+	r->report_turn += 7;
+	for (guint i = 0; i < order->len && cg_clock_now(r->clk) < until; i++)
+		send_batch(r,
+			   g_ptr_array_index(order,
+					     (i + r->report_turn) % order->len),
+			   stop);
+	g_ptr_array_free(order, TRUE);
 	g_hash_table_destroy(batches);
 }
--- a/src/control/rate_ctl.h
+++ b/src/control/rate_ctl.h
@@ -91,6 +91,7 @@
 	bool running;
 	uint64_t config_version;
 	uint64_t generation;
+	uint32_t report_turn;
 	cg_ms members_at;
 	cg_ms ledgers_at;
 	cg_ms survey_at;
