Rates controller test: repeat the allocation check after a pause

Cause: local_path_allocates_nothing failed when the instance had no holding at that moment. Its status shows a holding that was granted 2 ms before: after an overload of all four instances one may be without rights until the others report. The property under test concerns a holding that exists. Change: up to five attempts to have a holding; no allocation is allowed in the attempt that counts. Waiters are waited for. Conclusion: the other checks are unchanged.

--- a/tests/test_rate_controller.c
+++ b/tests/test_rate_controller.c
@@ -443,27 +443,46 @@
 	assert_true(ledger_value(f, 0, "large", "holders") >= NODES - 1);
 }
 
+/* Takes three requests. Returns whether all were admitted at once, with the
+ * allocations of this thread meanwhile. */
+static bool take_three(struct fixture *f, unsigned long *spent)
+{
+	struct waiter w[3];
+	unsigned long before = allocations;
+	int admitted = 0, rc[3];
+
+	for (int i = 0; i < 3; i++) {
+		w[i] = (struct waiter){ .w.done = done, .result = -1 };
+		rc[i] = (int)cg_rates_take(f->node[1].rates,
+					   &f->config.accounts[0], &w[i].w);
+		admitted += rc[i] == CG_RATE_ADMITTED;
+	}
+	*spent = allocations - before;
+	for (int i = 0; i < 3; i++)
+		while (rc[i] == CG_RATE_WAIT && w[i].result < 0)
+			cg_sleep(1);
+	return admitted == 3;
+}
+
+/* A pause of the machine may end the holding, which is then built up again. */
 static void local_path_allocates_nothing(void **state)
 {
 	struct fixture *f = *state;
-	static struct waiter w = { .w.done = done, .result = -1 };
-	unsigned long before;
-	int admitted = 0;
+	unsigned long spent = 0;
+	bool admitted = false;
 
-	for (int i = 0; i < 300; i++) {
-		take(f, 1, 0);
-		cg_sleep(1);
+	for (int attempt = 0; attempt < 5 && !admitted; attempt++) {
+		for (int i = 0; i < 300; i++) {
+			take(f, 1, 0);
+			cg_sleep(1);
+		}
+		cg_sleep(300);
+		admitted = take_three(f, &spent);
+		if (!admitted)
+			print_status(f, 1, "large");
 	}
-	cg_sleep(300);
-	before = allocations;
-	for (int i = 0; i < 3; i++)
-		admitted +=
-			cg_rates_take(f->node[1].rates, &f->config.accounts[0],
-				      &w.w) == CG_RATE_ADMITTED;
-	if (admitted != 3)
-		print_status(f, 1, "large");
-	assert_int_equal(admitted, 3);
-	assert_int_equal(allocations, before);
+	assert_true(admitted);
+	assert_int_equal(spent, 0);
 }
 
 static void idle_holdings_return(void **state)
