--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -144,6 +144,11 @@
 long fleet_request(struct fleet *f, int i, const char *method, const char *path,
 		   const char *key);
 
+/** Waits until every daemon is ready and has answered a GET. What a daemon does
+ * between the two is tested by test_system_start. Returns 0 or -1. */
+int fleet_wait_serving(struct fleet *f, const char *path, const char *key,
+		       int64_t ms);
+
 /** Prints the warnings and errors in the daemons' logs. */
 void fleet_print_logs(struct fleet *f);
 
--- a/tests/support/fleet_load.c
+++ b/tests/support/fleet_load.c
@@ -96,3 +96,20 @@
 	}
 	return sum;
 }
+
+int fleet_wait_serving(struct fleet *f, const char *path, const char *key,
+		       int64_t ms)
+{
+	int64_t end = fleet_now() + ms;
+
+	if (fleet_wait_ready(f, -1, ms))
+		return -1;
+	for (int i = 0; i < f->n_daemons; i++)
+		while (f->daemons[i].pid &&
+		       fleet_request(f, i, "GET", path, key) != 200) {
+			if (fleet_now() >= end)
+				return -1;
+			g_usleep(20000);
+		}
+	return 0;
+}
--- a/tests/test_system_at_most_once.c
+++ b/tests/test_system_at_most_once.c
@@ -37,7 +37,9 @@
 	assert_int_equal(fleet_apply(f), 0);
 	for (int i = 0; i < 3; i++)
 		fleet_daemon(f, (const char *[]){ "a", "b", "c" }[i], 0, NULL);
-	assert_int_equal(fleet_wait_ready(f, -1, 20000), 0);
+	assert_int_equal(fleet_wait_serving(f, "/slots",
+					    "acme-key-0123456789abcdef", 20000),
+			 0);
 	return 0;
 }
 
--- a/tests/test_system_drain.c
+++ b/tests/test_system_drain.c
@@ -26,7 +26,9 @@
 	for (int i = 0; i < 4; i++)
 		fleet_daemon(f, (const char *[]){ "a", "b", "c" }[i % 3], 0,
 			     NULL);
-	assert_int_equal(fleet_wait_ready(f, -1, 20000), 0);
+	assert_int_equal(fleet_wait_serving(f, "/visits",
+					    "acme-key-0123456789abcdef", 20000),
+			 0);
 	return 0;
 }
 
--- a/tests/test_system_keys.c
+++ b/tests/test_system_keys.c
@@ -34,7 +34,7 @@
 	for (int i = 0; i < DAEMONS; i++)
 		fleet_daemon(f, (const char *[]){ "a", "b", "c" }[i % 3], i / 3,
 			     NULL);
-	assert_int_equal(fleet_wait_ready(f, -1, 20000), 0);
+	assert_int_equal(fleet_wait_serving(f, "/profiles", KEY, 20000), 0);
 	return 0;
 }
 
--- a/tests/test_system_rates.c
+++ b/tests/test_system_rates.c
@@ -46,7 +46,10 @@
 	for (int i = 0; i < daemons; i++)
 		fleet_daemon(f, (const char *[]){ "a", "b", "c" }[i % 3], 0,
 			     NULL);
-	assert_int_equal(fleet_wait_ready(f, -1, 20000), 0);
+	assert_int_equal(fleet_wait_serving(f, "/rounds",
+					    "small-key-0123456789abcdef",
+					    20000),
+			 0);
 	return f;
 }
 
--- a/tests/test_system_restart.c
+++ b/tests/test_system_restart.c
@@ -31,7 +31,9 @@
 	for (int i = 0; i < DAEMONS; i++)
 		fleet_daemon(f, (const char *[]){ "a", "b", "c" }[i % 3], 0,
 			     QUICK);
-	assert_int_equal(fleet_wait_ready(f, -1, 20000), 0);
+	assert_int_equal(fleet_wait_serving(f, "/records",
+					    "acme-key-0123456789abcdef", 20000),
+			 0);
 	return 0;
 }
 
