--- a/Makefile
+++ b/Makefile
@@ -58,7 +58,7 @@
 $(B)/tests/test_%: $(B)/tests/test_%.o $(B)/libtestsupport.a $(B)/libceleryglade.a
 	$(CC) $(SANFLAGS) -o $@ $^ $(CMOCKA) $(CURL) $(LDLIBS)
 $(B)/bench/%: $(B)/bench/%.o $(BENCH_LIB_SRC:%.c=$(B)/%.o) $(B)/libtestsupport.a $(B)/libceleryglade.a
-	$(CC) $(SANFLAGS) -o $@ $^ $(CURL) $(LDLIBS)
+	$(CC) $(SANFLAGS) -o $@ $^ $(CMOCKA) $(CURL) $(LDLIBS)
 
 # rpcgen's output does not meet the project's own warnings.
 $(B)/src/rpc/gen/%.o: src/rpc/gen/%.c
