Measure the false alarm rate of the test itself

Change: bench_ejection runs the coordinator alone against independent background failures of 1 % and 3 %.

--- a/bench/bench_ejection.c
+++ b/bench/bench_ejection.c
@@ -176,11 +176,73 @@
 	sim_free(&s);
 }
 
+/* Independent background failures only, seen by the coordinator alone: the rate
+ * of false alarms of the test itself. Returns ejections. */
+static uint64_t background(size_t servers, double rate, double fail,
+			   double days)
+{
+	struct cg_ejection_server list[16] = { 0 };
+	struct cg_ejection_capacity c;
+	struct cg_ejection_rules r;
+	struct cg_ejection *e;
+	struct sim s = { .rng = 12345 };
+	cg_ms end = (cg_ms)(days * 86400000);
+	uint64_t sequence = 0;
+
+	cg_ejection_rules_fleet(&r, 30000, 10000);
+	e = cg_ejection_new(&r, 1, false, 0);
+	for (size_t i = 0; i < servers; i++) {
+		g_snprintf(list[i].name, 8, "s%zu", i);
+		list[i].slots = 3;
+	}
+	cg_ejection_set_servers(e, list, servers, 50, 0);
+	for (cg_ms now = 1000; now < end; now += 1000) {
+		double t = -log(sim_random(&s) + 1e-12);
+
+		for (; t < rate * (double)servers;
+		     t -= log(sim_random(&s) + 1e-12)) {
+			size_t i = (size_t)(sim_random(&s) * (double)servers);
+			size_t d = (size_t)(sim_random(&s) * 6);
+			struct cg_sample x = { 0 };
+			const char name[] = { (char)('a' + d), 0 };
+			uint32_t id;
+
+			if (sim_random(&s) < fail)
+				x.failed = 1;
+			else
+				x.answered[20 + (int)(sim_random(&s) * 8)] = 1;
+			cg_ejection_report(e, name, 1, d % 2 ? "x" : "y",
+					   ++sequence, now, &id);
+			cg_ejection_observe(e, id, cg_server_id(list[i].name),
+					    &x, now);
+		}
+		cg_ejection_tick(e, now);
+	}
+	cg_ejection_capacity(e, end, &c);
+	cg_ejection_free(e);
+	return c.ejections;
+}
+
+static void background_row(size_t servers, double rate, double fail,
+			   double days)
+{
+	printf("%7zu %7.1f %6.1f%% %11.0f %9llu\n", servers, rate, fail * 100,
+	       days * (double)servers,
+	       (unsigned long long)background(servers, rate, fail, days));
+	fflush(stdout);
+}
+
 int main(int argc, char **argv)
 {
 	size_t trials = argc > 1 ? strtoul(argv[1], NULL, 10) : 40;
 	double hours = argc > 2 ? strtod(argv[2], NULL) : 4;
 
+	printf("background failures only; aim: 0.001 ejections per server and day\n");
+	printf("servers  rate/s failing server-days ejections\n");
+	background_row(5, 0.2, 0.01, 8 * hours);
+	background_row(5, 0.2, 0.03, 8 * hours);
+	background_row(10, 7.5, 0.01, hours / 2);
+	background_row(10, 7.5, 0.03, hours / 2);
 	printf("detection time in s, median over daemons; own p50 p95, baseline p50 p95\n");
 	printf("servers daemons  fault      own p50  own p95 base p50 base p95\n");
 	for (size_t f = 0; f < G_N_ELEMENTS(fleets); f++)
