Give no shards to a daemon that shuts down

Cause: after a graceful shutdown the others saw the daemon as live for up to 10 s (last heartbeat) and the rebalancing handed shards back to it. Their accounts had no coordinator until it was started again or proved gone.

Ruled out: a shorter heartbeat limit alone. Heartbeat ages reach 1.3 s at 48 daemons, so any limit above that still gives shards away.

Change: gossip says that the sender shuts down; it is pushed to all members at once and kept for that incarnation. Submitted calls that never ran are freed with the transport (LeakSanitizer in test_shards).

--- a/include/internal/gossip.h
+++ b/include/internal/gossip.h
@@ -27,6 +27,9 @@
 void cg_gossip_stop(struct cg_gossip *g);
 void cg_gossip_free(struct cg_gossip *g);
 
+/** Tells all members that this process shuts down. */
+void cg_gossip_leave(struct cg_gossip *g);
+
 /** Handles GOSSIP. */
 int cg_gossip_handle(struct cg_gossip *g, const struct cg_peer_msg *msg,
 		     GByteArray *reply);
--- a/include/internal/members.h
+++ b/include/internal/members.h
@@ -28,6 +28,7 @@
 	char failure_domain[CG_NAME_MAX + 1];
 	char region[CG_NAME_MAX + 1];
 	enum cg_member_state state;
+	bool leaving; /**< This incarnation said that it shuts down. */
 	cg_ms heard_at; /**< Last direct or relayed heartbeat. */
 };
 
@@ -41,6 +42,9 @@
 				  uint64_t incarnation, struct cg_clock *clk);
 void cg_members_free(struct cg_members *m);
 
+/** Marks this process as shutting down; gossip tells the others. */
+void cg_members_leave(struct cg_members *m);
+
 /** Copies this process's own entry. */
 void cg_members_self(struct cg_members *m, struct cg_member *out);
 
--- a/src/control/gossip.c
+++ b/src/control/gossip.c
@@ -15,6 +15,7 @@
  * that unreachable members delay neither the other lanes nor other modules'
  * calls. */
 #define LANES	      3
+#define LEAVE_MEMBERS 1024
 #define PUSH_MEMBERS  4
 #define PUSH_HEARD_MS 10000
 #define NO_EVIDENCE   UINT32_MAX
@@ -124,6 +125,7 @@
 	x.region = self.region;
 	for (int i = 0; i < CG_DOC_COUNT; i++)
 		x.versions[i] = cg_docs_version(g->docs, (enum cg_doc)i);
+	x.leaving = self.leaving;
 	x.listed = (u_int)cg_members_listed(g->members);
 	x.fresh_age_ms = NO_EVIDENCE;
 	count = cg_notices_collect(g->notices, notices, CG_X_GOSSIP_NOTICES);
@@ -147,6 +149,7 @@
 	memset(who, 0, sizeof(*who));
 	g_strlcpy(who->name, x->instance, sizeof(who->name));
 	who->incarnation = x->incarnation;
+	who->leaving = x->leaving;
 	who->addr.sin_family = AF_INET;
 	who->addr.sin_addr.s_addr = htonl(x->ip);
 	who->addr.sin_port = htons((uint16_t)x->port);
@@ -327,3 +330,21 @@
 			     body->len);
 	g_byte_array_unref(body);
 }
+
+/* Told to every member at once, and by each later message: a member that missed
+ * it could give shards to a process that ends. */
+void cg_gossip_leave(struct cg_gossip *g)
+{
+	struct cg_member *to = g_new(struct cg_member, LEAVE_MEMBERS);
+	GByteArray *body = g_byte_array_new();
+	size_t n = 0;
+
+	cg_members_leave(g->members);
+	if (!build(g, false, body))
+		n = cg_members_copy(g->members, to, LEAVE_MEMBERS);
+	for (size_t i = 0; i < n; i++)
+		cg_peer_send(g->peer, &to[i].addr, CG_MSG_GOSSIP, body->data,
+			     body->len);
+	g_byte_array_unref(body);
+	g_free(to);
+}
--- a/src/control/members.c
+++ b/src/control/members.c
@@ -112,6 +112,13 @@
 	return e->self ? cg_clock_now(m->clk) : e->m.heard_at;
 }
 
+void cg_members_leave(struct cg_members *m)
+{
+	pthread_mutex_lock(&m->lock);
+	m->self->m.leaving = true;
+	pthread_mutex_unlock(&m->lock);
+}
+
 void cg_members_self(struct cg_members *m, struct cg_member *out)
 {
 	pthread_mutex_lock(&m->lock);
@@ -308,6 +315,7 @@
 	if (proven_at == CG_NEVER_HEARD && who->incarnation < e->m.incarnation)
 		return false;
 	e->m.incarnation = who->incarnation;
+	e->m.leaving = false;
 	e->m.heard_at = CG_NEVER_HEARD;
 	return true;
 }
@@ -336,6 +344,7 @@
 	    !accept_identity(e, who, proven_at))
 		goto out;
 	e->contact_at = now;
+	e->m.leaving |= who->leaving;
 	if (e->m.state == CG_MEMBER_GONE) {
 		cg_info("%s was counted as gone and is heard again", who->name);
 		set_state(m, e, CG_MEMBER_UNLISTED);
--- a/src/control/shards.c
+++ b/src/control/shards.c
@@ -249,7 +249,7 @@
 		m->self = !strcmp(a->name, s->settings->instance);
 		m->gone = a->state == CG_MEMBER_GONE;
 		m->eligible = a->state == CG_MEMBER_LIVE && a->incarnation &&
-			      a->heard_at != CG_NEVER_HEARD &&
+			      !a->leaving && a->heard_at != CG_NEVER_HEARD &&
 			      now - a->heard_at <= HEARD_MS;
 		if (m->self)
 			m->moved = cg_members_self_listed(
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -187,6 +187,7 @@
 
 	cg_info("shutting down: readiness fails now");
 	atomic_store(&p->stopping, true);
+	cg_gossip_leave(n->gossip);
 	/* The balancer needs this time to see it; every response closes its
 	 * connection meanwhile. */
 	cg_sleep(n->settings.lame_duck_ms);
--- a/src/rpc/gen/gossip_wire.h
+++ b/src/rpc/gen/gossip_wire.h
@@ -40,6 +40,7 @@
 	u_quad_t versions[CG_X_GOSSIP_DOCS];
 	u_quad_t fresh_version;
 	u_int listed;
+	bool_t leaving;
 	u_int fresh_age_ms;
 	struct {
 		u_int notices_len;
--- a/src/rpc/gen/gossip_wire_xdr.c
+++ b/src/rpc/gen/gossip_wire_xdr.c
@@ -28,6 +28,85 @@
 	register int32_t *buf;
 
 	int i;
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_string (xdrs, &objp->instance, CG_X_GOSSIP_NAME))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->ip))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->port))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->failure_domain, CG_X_GOSSIP_NAME))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->region, CG_X_GOSSIP_NAME))
+			 return FALSE;
+		 if (!xdr_vector (xdrs, (char *)objp->versions, CG_X_GOSSIP_DOCS,
+			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->fresh_version))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->listed))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->leaving))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->fresh_age_ms))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->listed);
+		IXDR_PUT_BOOL(buf, objp->leaving);
+		IXDR_PUT_U_LONG(buf, objp->fresh_age_ms);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->notices.notices_val, (u_int *) &objp->notices.notices_len, CG_X_GOSSIP_NOTICES,
+			sizeof (cg_x_notice), (xdrproc_t) xdr_cg_x_notice))
+			 return FALSE;
+		 if (!xdr_cg_x_ages (xdrs, &objp->ages))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_string (xdrs, &objp->instance, CG_X_GOSSIP_NAME))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->ip))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->port))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->failure_domain, CG_X_GOSSIP_NAME))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->region, CG_X_GOSSIP_NAME))
+			 return FALSE;
+		 if (!xdr_vector (xdrs, (char *)objp->versions, CG_X_GOSSIP_DOCS,
+			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->fresh_version))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->listed))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->leaving))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->fresh_age_ms))
+				 return FALSE;
+
+		} else {
+		objp->listed = IXDR_GET_U_LONG(buf);
+		objp->leaving = IXDR_GET_BOOL(buf);
+		objp->fresh_age_ms = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->notices.notices_val, (u_int *) &objp->notices.notices_len, CG_X_GOSSIP_NOTICES,
+			sizeof (cg_x_notice), (xdrproc_t) xdr_cg_x_notice))
+			 return FALSE;
+		 if (!xdr_cg_x_ages (xdrs, &objp->ages))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_string (xdrs, &objp->instance, CG_X_GOSSIP_NAME))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
@@ -47,6 +126,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->listed))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->leaving))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->fresh_age_ms))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->notices.notices_val, (u_int *) &objp->notices.notices_len, CG_X_GOSSIP_NOTICES,
--- a/src/rpc/gossip_wire.x
+++ b/src/rpc/gossip_wire.x
@@ -25,6 +25,7 @@
 	unsigned hyper versions[CG_X_GOSSIP_DOCS];
 	unsigned hyper fresh_version; /* That the evidence is about. */
 	unsigned int listed; /* Instances in the list; 0: none. */
+	bool leaving; /* The sender shuts down; it takes over no shards. */
 	unsigned int fresh_age_ms; /* 0xffffffff: no evidence. */
 	cg_x_notice notices<CG_X_GOSSIP_NOTICES>;
 	cg_x_ages ages;
--- a/src/rpc/peer.c
+++ b/src/rpc/peer.c
@@ -376,6 +376,20 @@
 	return 0;
 }
 
+/* Ends calls that were submitted before the threads ran or after they ended. */
+static void drop_jobs(struct cg_peer *p)
+{
+	struct peer_job *j;
+
+	while ((j = g_async_queue_try_pop(p->jobs))) {
+		if (j->done) {
+			j->done(j->arg, -1, NULL);
+			g_byte_array_unref(j->body);
+		}
+		g_free(j);
+	}
+}
+
 void cg_peer_free(struct cg_peer *p)
 {
 	if (!p)
@@ -387,6 +401,7 @@
 		g_async_queue_push(p->jobs, g_new0(struct peer_job, 1));
 	for (int i = 0; i < p->worker_count; i++)
 		pthread_join(p->workers[i], NULL);
+	drop_jobs(p);
 	if (p->xprt) {
 		replace_transport(p, NULL);
 		svc_destroy(p->xprt);
--- a/tests/test_members.c
+++ b/tests/test_members.c
@@ -206,6 +206,24 @@
 	assert_int_equal(m.incarnation, 7);
 }
 
+/* A process that shuts down must not be given shards, its successor must. */
+static void leaving_belongs_to_one_incarnation(void **state)
+{
+	struct fixture *f = *state;
+	struct cg_member b = who("b", 5);
+	struct cg_member m;
+
+	list(f, 1, "ab");
+	b.leaving = true;
+	cg_members_heard(f->m, &b, CG_NEVER_HEARD);
+	hear(f, "b", 5);
+	cg_members_find(f->m, "b", &m);
+	assert_true(m.leaving);
+	hear(f, "b", 9);
+	cg_members_find(f->m, "b", &m);
+	assert_false(m.leaving);
+}
+
 static void other_address_is_another_process(void **state)
 {
 	struct fixture *f = *state;
@@ -417,6 +435,7 @@
 		T(unlisted_is_never_gone),
 		T(owner_of_the_map_can_be_gone),
 		T(new_incarnation_supersedes),
+		T(leaving_belongs_to_one_incarnation),
 		T(other_address_is_another_process),
 		T(majority_counts_all_known_members),
 		T(requests_are_no_heartbeats),
