--- a/Makefile
+++ b/Makefile
@@ -72,10 +72,10 @@
 # rpcgen's output does not meet the project's own warnings.
 $(B)/src/rpc/gen/%.o: src/rpc/gen/%.c
 	@mkdir -p $(@D)
-	$(CC) $(CFLAGS) -Wno-unused-variable -Wno-missing-prototypes -Wno-shadow -MMD -c -o $@ $<
+	$(CC) $(CFLAGS) -Wno-unused-variable -Wno-missing-prototypes -Wno-shadow -MMD -MP -c -o $@ $<
 $(B)/%.o: %.c
 	@mkdir -p $(@D)
-	$(CC) $(CFLAGS) -MMD -c -o $@ $<
+	$(CC) $(CFLAGS) -MMD -MP -c -o $@ $<
 
 setup:
 	sh scripts/setup.sh
--- a/include/celeryglade/outcome.h
+++ b/include/celeryglade/outcome.h
@@ -37,9 +37,7 @@
 	X(CLAIM_UNAVAILABLE, "claim_unavailable", 503, true)                   \
 	X(CLAIM_UNKNOWN, "claim_unknown", 409, false)                          \
 	X(CLAIM_MISMATCH, "claim_mismatch", 422, true)                         \
-	X(NO_CONFIG, "no_config", 503, true)                                   \
-	X(SHUTTING_DOWN, "shutting_down", 503, true)                           \
-	X(OVERLOADED, "overloaded", 503, true)
+	X(NO_CONFIG, "no_config", 503, true)
 
 enum cg_reason {
 	CG_OK,
--- a/src/control/rate_handover.c
+++ b/src/control/rate_handover.c
@@ -236,6 +236,4 @@
 		cg_warning("shard %u: %s did not take the ledger over and will "
 			   "ask all members instead",
 			   l->shard, to->instance);
-	else
-		cg_count(CG_COUNTER_SHARD_HANDOVERS);
 }
--- a/src/ctl/folder_cmds.c
+++ b/src/ctl/folder_cmds.c
@@ -162,9 +162,12 @@
 		return rc;
 	rc = publish(o, c, &p);
 	cg_config_unref(c);
-	if (rc == CTL_OK && o->wait_s >= 0)
-		rc = ctl_wait_in_force(o, p.version, p.write_id);
-	return rc;
+	if (rc != CTL_OK || o->wait_s < 0)
+		return rc;
+	/* The change is written: any fault from here on leaves only open
+	 * whether it is in force. */
+	rc = ctl_wait_in_force(o, p.version, p.write_id);
+	return rc == CTL_OK ? CTL_OK : CTL_NOT_EVERYWHERE;
 }
 
 /* Differences are collected as objects with path, old and new. */
--- a/src/node/status.c
+++ b/src/node/status.c
@@ -34,6 +34,18 @@
 	g_bytes_unref(text);
 }
 
+/* Why a newer configuration was not adopted, for explain-change. */
+static void add_config_fault(struct json_object *o)
+{
+	struct json_object *v = o;
+
+	if (json_object_object_get_ex(v, "documents", &v) &&
+	    json_object_object_get_ex(v, "root", &v) &&
+	    json_object_object_get_ex(v, "last_error", &v) &&
+	    json_object_get_string_len(v) > 0)
+		json_object_object_add(o, "config_fault", json_object_get(v));
+}
+
 static struct json_object *summary(struct cg_node *n)
 {
 	struct cg_proxy *p = &n->proxy;
@@ -55,6 +67,7 @@
 	add_text(o, "keys", keys ? "accepting" : "stale");
 	add_number(o, "running", (uint64_t)atomic_load(&p->running));
 	json_object_object_add(o, "documents", cg_docs_status(p->docs));
+	add_config_fault(o);
 	json_object_object_add(
 		o, "trust",
 		cg_trust_status(p->settings, p->clk, p->docs, n->members));
@@ -119,10 +132,13 @@
 			  msg->len, &q, sizeof(q)))
 		return -1;
 	o = answer(n, q.what, q.name);
-	if (o) {
-		rc = put_page(json_object_to_json_string(o), q.offset, reply);
-		json_object_put(o);
+	if (!o) {
+		/* Told apart from a daemon that does not answer. */
+		o = json_object_new_object();
+		add_text(o, "error", "unknown question or name");
 	}
+	rc = put_page(json_object_to_json_string(o), q.offset, reply);
+	json_object_put(o);
 	xdr_free((xdrproc_t)xdr_cg_x_status_request, (char *)&q);
 	return rc;
 }
