--- a/src/control/docs.c
+++ b/src/control/docs.c
@@ -16,6 +16,7 @@
 #include "internal/members.h"
 #include "internal/parts.h"
 #include "internal/shard_map.h"
+#include "internal/wait.h"
 
 /* A watch ends after this time, so that watchers confirm freshness at least
  * that often; key_isolation_ms defaults to five times as much. */
@@ -132,15 +133,8 @@
 /* Waits in real time; called with the lock held. */
 static void wait_locked(struct replica *r, cg_ms ms)
 {
-	struct timespec ts;
-
-	clock_gettime(CLOCK_MONOTONIC, &ts);
-	ts.tv_sec += ms / 1000;
-	ts.tv_nsec += ms % 1000 * 1000000;
-	if (ts.tv_nsec >= 1000000000) {
-		ts.tv_sec++;
-		ts.tv_nsec -= 1000000000;
-	}
+	struct timespec ts = cg_wait_end(ms);
+
 	pthread_cond_timedwait(&r->wake, &r->lock, &ts);
 }
 
@@ -780,16 +774,12 @@
 static void init_replica(struct cg_docs *d, enum cg_doc doc)
 {
 	struct replica *r = &d->replicas[doc];
-	pthread_condattr_t attr;
 
 	r->d = d;
 	r->doc = doc;
 	pthread_mutex_init(&r->lock, NULL);
 	pthread_mutex_init(&r->adopting, NULL);
-	pthread_condattr_init(&attr);
-	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
-	pthread_cond_init(&r->wake, &attr);
-	pthread_condattr_destroy(&attr);
+	cg_cond_init(&r->wake);
 }
 
 struct cg_docs *cg_docs_new(const struct cg_settings *s, struct cg_clock *clk,
--- a/src/control/gossip.c
+++ b/src/control/gossip.c
@@ -10,6 +10,7 @@
 
 #include "gossip_wire.h"
 #include "internal/logging.h"
+#include "internal/wait.h"
 
 /* Each lane calls one random member per period and waits for its reply, so
  * that unreachable members delay neither the other lanes nor other modules'
@@ -42,7 +43,6 @@
 				struct cg_notices *notices)
 {
 	struct cg_gossip *g = g_new0(struct cg_gossip, 1);
-	pthread_condattr_t attr;
 
 	g->settings = s;
 	g->clk = clk;
@@ -51,10 +51,7 @@
 	g->docs = docs;
 	g->notices = notices;
 	pthread_mutex_init(&g->lock, NULL);
-	pthread_condattr_init(&attr);
-	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
-	pthread_cond_init(&g->wake, &attr);
-	pthread_condattr_destroy(&attr);
+	cg_cond_init(&g->wake);
 	return g;
 }
 
@@ -253,16 +250,9 @@
 /* Waits for @p ms of real time; returns false at the end. */
 static bool pause_lane(struct cg_gossip *g, cg_ms ms)
 {
-	struct timespec ts;
+	struct timespec ts = cg_wait_end(ms);
 	bool go_on;
 
-	clock_gettime(CLOCK_MONOTONIC, &ts);
-	ts.tv_sec += ms / 1000;
-	ts.tv_nsec += ms % 1000 * 1000000;
-	if (ts.tv_nsec >= 1000000000) {
-		ts.tv_sec++;
-		ts.tv_nsec -= 1000000000;
-	}
 	pthread_mutex_lock(&g->lock);
 	while (!g->stopping && !pthread_cond_timedwait(&g->wake, &g->lock, &ts))
 		;
--- a/src/control/health.c
+++ b/src/control/health.c
@@ -6,6 +6,7 @@
 
 #include "celeryglade/counters.h"
 #include "internal/logging.h"
+#include "internal/wait.h"
 
 /* A service without traffic for this time has no local evidence to evaluate,
  * unless a server is avoided. */
@@ -34,7 +35,6 @@
 				struct cg_notices *notices)
 {
 	struct cg_health *h = g_new0(struct cg_health, 1);
-	pthread_condattr_t attr;
 
 	h->settings = s;
 	h->clk = clk;
@@ -49,10 +49,7 @@
 	h->services = g_hash_table_new(g_str_hash, g_str_equal);
 	pthread_rwlock_init(&h->table, NULL);
 	pthread_mutex_init(&h->wake_lock, NULL);
-	pthread_condattr_init(&attr);
-	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
-	pthread_cond_init(&h->wake, &attr);
-	pthread_condattr_destroy(&attr);
+	cg_cond_init(&h->wake);
 	cg_docs_add_listener(docs, on_document, h);
 	return h;
 }
@@ -215,12 +212,10 @@
 /* Waits for the next tick; a new configuration is applied at once. */
 static bool wait_tick(struct cg_health *h)
 {
-	struct timespec until;
+	struct timespec until = cg_wait_end(HEALTH_TICK_MS);
 	bool stop;
 	int rc = 0;
 
-	clock_gettime(CLOCK_MONOTONIC, &until);
-	until.tv_sec += HEALTH_TICK_MS / 1000;
 	pthread_mutex_lock(&h->wake_lock);
 	while (!h->stopping && !rc) {
 		rc = pthread_cond_timedwait(&h->wake, &h->wake_lock, &until);
--- a/src/control/shards.c
+++ b/src/control/shards.c
@@ -10,6 +10,7 @@
 #include "celeryglade/counters.h"
 #include "internal/logging.h"
 #include "internal/shard_map.h"
+#include "internal/wait.h"
 
 #define STEP_MS 1000
 /* One shard at a time moves between live owners, because each move makes the
@@ -77,7 +78,6 @@
 				struct cg_members *members)
 {
 	struct cg_shards *s = g_new0(struct cg_shards, 1);
-	pthread_condattr_t attr;
 
 	s->settings = set;
 	s->incarnation = incarnation;
@@ -89,10 +89,7 @@
 	pthread_rwlock_init(&s->lock, NULL);
 	pthread_mutex_init(&s->writing, NULL);
 	pthread_mutex_init(&s->wake_lock, NULL);
-	pthread_condattr_init(&attr);
-	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
-	pthread_cond_init(&s->wake, &attr);
-	pthread_condattr_destroy(&attr);
+	cg_cond_init(&s->wake);
 	return s;
 }
 
@@ -212,16 +209,9 @@
 /* Waits for @p ms of real time; returns false at the end. */
 static bool pause_for(struct cg_shards *s, cg_ms ms)
 {
-	struct timespec ts;
+	struct timespec ts = cg_wait_end(ms);
 	bool go_on;
 
-	clock_gettime(CLOCK_MONOTONIC, &ts);
-	ts.tv_sec += ms / 1000;
-	ts.tv_nsec += ms % 1000 * 1000000;
-	if (ts.tv_nsec >= 1000000000) {
-		ts.tv_sec++;
-		ts.tv_nsec -= 1000000000;
-	}
 	pthread_mutex_lock(&s->wake_lock);
 	while (!s->stopping &&
 	       !pthread_cond_timedwait(&s->wake, &s->wake_lock, &ts))
--- a/src/request/dispatcher.c
+++ b/src/request/dispatcher.c
@@ -7,6 +7,7 @@
 #include "celeryglade/counters.h"
 #include "internal/connections.h"
 #include "internal/logging.h"
+#include "internal/wait.h"
 
 /*
  * Design note. neon's calls block, with timeouts in whole seconds, so an
@@ -123,16 +124,6 @@
 	g_free(d);
 }
 
-static void init_monotonic_cond(pthread_cond_t *c)
-{
-	pthread_condattr_t attr;
-
-	pthread_condattr_init(&attr);
-	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
-	pthread_cond_init(c, &attr);
-	pthread_condattr_destroy(&attr);
-}
-
 static struct service_runtime *new_runtime(struct cg_dispatcher *d,
 					   const struct cg_service *svc)
 {
@@ -142,7 +133,7 @@
 	rt->dispatcher = d;
 	cg_retry_budget_init(&rt->budget, cg_clock_now(d->proxy->clk));
 	pthread_mutex_init(&rt->lock, NULL);
-	init_monotonic_cond(&rt->wake);
+	cg_cond_init(&rt->wake);
 	rt->queue = cg_fair_queue_new(svc->queue, svc->queue_per_account);
 	return rt;
 }
@@ -166,15 +157,8 @@
  * time ran out. */
 static bool wait_for_wake(struct service_runtime *rt, cg_ms ms)
 {
-	struct timespec ts;
-
-	clock_gettime(CLOCK_MONOTONIC, &ts);
-	ts.tv_sec += ms / 1000;
-	ts.tv_nsec += ms % 1000 * 1000000;
-	if (ts.tv_nsec >= 1000000000) {
-		ts.tv_sec++;
-		ts.tv_nsec -= 1000000000;
-	}
+	struct timespec ts = cg_wait_end(ms);
+
 	return pthread_cond_timedwait(&rt->wake, &rt->lock, &ts) != ETIMEDOUT;
 }
 
