Build the load tool for the sanitizer run

Cause: in a fresh clone the system tests under AddressSanitizer failed at once ("the load tool failed: 127"), as check.sh did not build bench programs for that run. Earlier runs found one left by a manual build.

Ruled out: taking the plain load tool; the fleet driver uses one build folder.

Change: check.sh builds the bench programs with the sanitizer as well.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -9,5 +9,5 @@
 make -s fmt-check
 make -s lint
 sh scripts/run-tests.sh build/plain
-make -s -j"$jobs" SAN=address all standins tests
+make -s -j"$jobs" SAN=address all standins tests bench-progs
 ASAN_OPTIONS=detect_leaks=1 sh scripts/run-tests.sh build/address
