Split the document replica into threads, parts and serving

Cause: docs.c had 1,088 lines and three jobs.

Ruled out: a module of its own for adoption; it shares every lock with the threads.

Change: docs_parts.c (the table of parts and where missing ones come from), docs_serve.c (messages and status), docs_internal.h; no behaviour changed.

--- a/src/control/docs.c
+++ b/src/control/docs.c
@@ -1,5 +1,5 @@
 #define CG_PART "docs"
-#include "internal/docs.h"
+#include "docs_internal.h"
 
 #include <pthread.h>
 #include <stdatomic.h>
@@ -9,12 +9,8 @@
 #include <urcu-bp.h>
 
 #include "celeryglade/counters.h"
-#include "docs_wire.h"
 #include "internal/doc_fetch.h"
-#include "internal/instances.h"
 #include "internal/logging.h"
-#include "internal/members.h"
-#include "internal/parts.h"
 #include "internal/shard_map.h"
 #include "internal/wait.h"
 
@@ -23,85 +19,10 @@
 #define WATCH_MS	 1000
 #define WATCHERS_PER_FD	 2
 #define BACKOFF_FIRST_MS 250
-#define BACKOFF_MAX_MS	 5000
 #define EMPTY_RETRY_MS	 1000
-#define MAX_OFFERS	 4
-#define MAX_LISTENERS	 16
-#define PART_PEERS	 3
 /* Map and list change rarely and gossip tells their versions, so that most
  * polls go to the root, on which the freshness of keys rests. */
 #define SLOW_POLL_FACTOR 3
-#define FETCH_TIMEOUT_MS 600
-
-struct replica {
-	struct cg_docs *d;
-	enum cg_doc doc;
-
-	pthread_mutex_t lock;
-	pthread_cond_t wake;
-	GBytes *content;
-	uint8_t digest[CG_DIGEST_SIZE];
-	uint64_t version;
-	uint64_t store_version;
-	uint64_t rejected_version;
-	uint8_t rejected_digest[CG_DIGEST_SIZE]; /* Logged and counted once. */
-	bool refresh;
-	uint64_t offered;
-	struct sockaddr_in offers[MAX_OFFERS];
-	size_t offer_count;
-	char source[32];
-	char last_error[160];
-	cg_ms adopted_at;
-
-	/* Held while a version is completed and adopted, never together with
-	 * a wait for the lock's conditions. */
-	pthread_mutex_t adopting;
-	pthread_t store_thread;
-	pthread_t fetch_thread;
-	int threads;
-};
-
-struct cg_docs {
-	const struct cg_settings *settings;
-	struct cg_clock *clk;
-	struct cg_store *store;
-	struct cg_peer *peer;
-	struct cg_members *members;
-	struct replica replicas[CG_DOC_COUNT];
-	_Atomic bool stopping;
-
-	struct {
-		cg_docs_listener fn;
-		void *arg;
-	} listeners[MAX_LISTENERS];
-	size_t listener_count;
-
-	struct cg_config *config; /* Read under RCU. */
-
-	pthread_mutex_t parts_lock;
-	GHashTable *parts; /* Digest to content. */
-	struct cg_part_ref *old_refs; /* Of the root before the present one. */
-	size_t old_ref_count;
-	struct cg_part_ref *refs;
-	size_t ref_count;
-
-	pthread_mutex_t fresh_lock;
-	cg_ms fresh_at;
-	uint64_t fresh_version;
-	cg_ms pending_at; /* Evidence for a version that is not adopted yet. */
-	uint64_t pending_version;
-};
-
-/* A version on its way to adoption. */
-struct candidate {
-	GBytes *content;
-	uint64_t version;
-	uint64_t store_version;
-	const struct sockaddr_in *teller; /* NULL if it came from the store. */
-	struct cg_config *config;
-	struct cg_root root;
-	struct cg_instance_list list;
-};
 
 const char *cg_doc_name(enum cg_doc doc)
 {
@@ -123,7 +44,7 @@
 	return ms * 3 / 4 + g_random_int_range(0, (gint32)(ms / 2) + 1);
 }
 
-static void set_error(struct replica *r, const char *text)
+static void set_error(struct docs_replica *r, const char *text)
 {
 	pthread_mutex_lock(&r->lock);
 	g_strlcpy(r->last_error, text, sizeof(r->last_error));
@@ -131,7 +52,7 @@
 }
 
 /* Waits in real time; called with the lock held. */
-static void wait_locked(struct replica *r, cg_ms ms)
+static void wait_locked(struct docs_replica *r, cg_ms ms)
 {
 	struct timespec ts = cg_wait_end(ms);
 
@@ -140,7 +61,7 @@
 
 /* Sleeps until @p ms have passed, a refresh is asked for or the end. Returns
  * whether a refresh was asked for. */
-static bool sleep_store(struct replica *r, cg_ms ms)
+static bool sleep_store(struct docs_replica *r, cg_ms ms)
 {
 	struct cg_clock real;
 	bool refresh;
@@ -196,177 +117,19 @@
 		add_fresh(d, pending, at);
 }
 
-static GBytes *find_part(struct cg_docs *d, const uint8_t *digest)
-{
-	GBytes *key = g_bytes_new_static(digest, CG_DIGEST_SIZE);
-	GBytes *found;
-
-	pthread_mutex_lock(&d->parts_lock);
-	found = g_hash_table_lookup(d->parts, key);
-	if (found)
-		g_bytes_ref(found);
-	pthread_mutex_unlock(&d->parts_lock);
-	g_bytes_unref(key);
-	return found;
-}
-
-/* Parts are kept as they arrive, so that other members can fetch them from
- * here before the whole version is complete. */
-static void keep_part(struct cg_docs *d, const uint8_t *digest, GBytes *part)
-{
-	pthread_mutex_lock(&d->parts_lock);
-	g_hash_table_replace(d->parts, g_bytes_new(digest, CG_DIGEST_SIZE),
-			     g_bytes_ref(part));
-	pthread_mutex_unlock(&d->parts_lock);
-}
-
-static GHashTable *new_parts(void)
-{
-	return g_hash_table_new_full(g_bytes_hash, g_bytes_equal,
-				     (GDestroyNotify)g_bytes_unref,
-				     (GDestroyNotify)g_bytes_unref);
-}
-
-static void move_parts(struct cg_docs *d, GHashTable *to,
-		       const struct cg_part_ref *refs, size_t n)
-{
-	for (size_t i = 0; i < n; i++) {
-		GBytes *key = g_bytes_new(refs[i].digest, CG_DIGEST_SIZE);
-		GBytes *part = g_hash_table_lookup(d->parts, key);
-
-		if (part)
-			g_hash_table_replace(to, g_bytes_ref(key),
-					     g_bytes_ref(part));
-		g_bytes_unref(key);
-	}
-}
-
-/* Keeps the parts of the new root and of the one before, which other members
- * may still be fetching. */
-static void prune_parts(struct cg_docs *d, const struct cg_root *root)
-{
-	GHashTable *kept = new_parts();
-
-	pthread_mutex_lock(&d->parts_lock);
-	g_free(d->old_refs);
-	d->old_refs = d->refs;
-	d->old_ref_count = d->ref_count;
-	d->refs =
-		g_memdup2(root->parts, root->part_count * sizeof(*root->parts));
-	d->ref_count = root->part_count;
-	move_parts(d, kept, d->old_refs, d->old_ref_count);
-	move_parts(d, kept, d->refs, d->ref_count);
-	g_hash_table_destroy(d->parts);
-	d->parts = kept;
-	pthread_mutex_unlock(&d->parts_lock);
-}
-
-/* Where missing parts are asked for, in order. A peer that failed to answer is
- * not asked again for this version. */
-struct part_sources {
-	struct sockaddr_in peers[PART_PEERS + 1];
-	bool failed[PART_PEERS + 1];
-	size_t n;
-};
-
-static void choose_sources(struct cg_docs *d, const struct candidate *c,
-			   bool watcher, struct part_sources *s)
-{
-	struct cg_member picked[PART_PEERS];
-	size_t n;
-
-	memset(s, 0, sizeof(*s));
-	if (c->teller)
-		s->peers[s->n++] = *c->teller;
-	/* A watcher is among the first to see a version in the store; peers
-	 * cannot have its parts yet. */
-	if (watcher && !c->teller)
-		return;
-	n = cg_members_pick(d->members, PART_PEERS, BACKOFF_MAX_MS, picked);
-	for (size_t i = 0; i < n; i++)
-		s->peers[s->n++] = picked[i].addr;
-}
-
-static GBytes *part_from_peers(struct cg_docs *d, struct part_sources *s,
-			       const struct cg_part_ref *ref)
-{
-	for (size_t i = 0; i < s->n; i++) {
-		GBytes *part = NULL;
-
-		if (s->failed[i] || atomic_load(&d->stopping))
-			continue;
-		switch (cg_fetch_part(d->peer, &s->peers[i], ref,
-				      FETCH_TIMEOUT_MS, &part)) {
-		case CG_FETCH_OK:
-			cg_count(CG_COUNTER_CONFIG_FROM_PEER);
-			return part;
-		case CG_FETCH_ABSENT:
-			break;
-		case CG_FETCH_FAILED:
-			s->failed[i] = true;
-			break;
-		}
-	}
-	return NULL;
-}
-
-static GBytes *part_from_store(struct cg_docs *d, const struct cg_part_ref *ref)
-{
-	char name[CG_PART_NAME_SIZE];
-	uint8_t digest[CG_DIGEST_SIZE];
-	GBytes *part;
-	uint64_t v;
-
-	cg_part_name(ref->digest, name);
-	if (cg_store_get(d->store, name, &part, &v) != CG_STORE_OK)
-		return NULL;
-	cg_part_digest(part, digest);
-	if (memcmp(digest, ref->digest, sizeof(digest)) != 0) {
-		cg_warning("part %s in the store has another digest", name);
-		g_bytes_unref(part);
-		return NULL;
-	}
-	cg_count(CG_COUNTER_CONFIG_FROM_STORE);
-	return part;
-}
-
-static int gather_parts(struct replica *r, const struct candidate *c,
-			bool watcher, GBytes **out)
-{
-	struct cg_docs *d = r->d;
-	struct part_sources s;
-
-	choose_sources(d, c, watcher, &s);
-	for (size_t i = 0; i < c->root.part_count; i++) {
-		const struct cg_part_ref *ref = &c->root.parts[i];
-
-		if (atomic_load(&d->stopping))
-			return -1;
-		out[i] = find_part(d, ref->digest);
-		if (!out[i])
-			out[i] = part_from_peers(d, &s, ref);
-		if (!out[i])
-			out[i] = part_from_store(d, ref);
-		if (!out[i])
-			return -1;
-		keep_part(d, ref->digest, out[i]);
-	}
-	return 0;
-}
-
 enum verdict {
 	VALID,
 	INVALID, /* This version will never be adopted. */
 	INCOMPLETE, /* Worth another attempt. */
 };
 
-static enum verdict build_root(struct replica *r, struct candidate *c,
+static enum verdict build_root(struct docs_replica *r, struct docs_candidate *c,
 			       bool watcher, struct cg_faults *f)
 {
 	GBytes **parts = g_new0(GBytes *, c->root.part_count + 1);
 	enum verdict v = INCOMPLETE;
 
-	if (gather_parts(r, c, watcher, parts))
+	if (docs_gather_parts(r, c, watcher, parts))
 		set_error(r, "a part could not be fetched");
 	else
 		v = cg_config_build(&c->root, parts, &c->config, f) ? INVALID
@@ -378,7 +141,7 @@
 	return v;
 }
 
-static int parse_version(struct replica *r, struct candidate *c,
+static int parse_version(struct docs_replica *r, struct docs_candidate *c,
 			 struct cg_faults *f)
 {
 	struct cg_shard_map *map;
@@ -407,7 +170,7 @@
 	abort();
 }
 
-static void candidate_clear(struct candidate *c)
+static void candidate_clear(struct docs_candidate *c)
 {
 	cg_root_clear(&c->root);
 	cg_instance_list_clear(&c->list);
@@ -415,7 +178,7 @@
 		cg_config_unref(c->config);
 }
 
-static void reject(struct replica *r, const struct candidate *c,
+static void reject(struct docs_replica *r, const struct docs_candidate *c,
 		   const struct cg_faults *f)
 {
 	const char *why = f->n ? f->lines[0] : "malformed";
@@ -439,20 +202,20 @@
 		   cg_docs_version(r->d, r->doc), why, f->n);
 }
 
-static void swap_config(struct cg_docs *d, struct candidate *c)
+static void swap_config(struct cg_docs *d, struct docs_candidate *c)
 {
 	struct cg_config *old = d->config;
 
 	rcu_assign_pointer(d->config, c->config);
 	c->config = NULL;
-	prune_parts(d, &c->root);
+	docs_prune_parts(d, &c->root);
 	/* A reader may have loaded the old pointer without a reference yet. */
 	synchronize_rcu();
 	if (old)
 		cg_config_unref(old);
 }
 
-static void install(struct replica *r, struct candidate *c)
+static void install(struct docs_replica *r, struct docs_candidate *c)
 {
 	struct cg_docs *d = r->d;
 	GBytes *old;
@@ -485,7 +248,7 @@
 }
 
 static void tell_listeners(struct cg_docs *d, enum cg_doc doc,
-			   const struct candidate *c)
+			   const struct docs_candidate *c)
 {
 	for (size_t i = 0; i < d->listener_count; i++)
 		d->listeners[i].fn(d->listeners[i].arg, doc, c->version,
@@ -494,7 +257,7 @@
 
 /* A read of the store that shows the present version also shows under which
  * store version it is kept now. */
-static void note_same(struct replica *r, const struct candidate *c)
+static void note_same(struct docs_replica *r, const struct docs_candidate *c)
 {
 	pthread_mutex_lock(&r->lock);
 	if (!c->teller && c->version == r->version)
@@ -509,8 +272,9 @@
 	CONSIDER_FAILED,
 };
 
-static enum consider_result judge(struct replica *r, struct candidate *c,
-				  bool watcher, struct cg_faults *f)
+static enum consider_result judge(struct docs_replica *r,
+				  struct docs_candidate *c, bool watcher,
+				  struct cg_faults *f)
 {
 	uint64_t own = cg_docs_version(r->d, r->doc);
 
@@ -540,8 +304,8 @@
 }
 
 /* Adopts the candidate if it is valid and its version is higher. */
-static enum consider_result consider(struct replica *r, struct candidate *c,
-				     bool watcher)
+static enum consider_result consider(struct docs_replica *r,
+				     struct docs_candidate *c, bool watcher)
 {
 	struct cg_faults f = { 0 };
 	enum consider_result res;
@@ -556,7 +320,7 @@
 	return res;
 }
 
-static enum cg_store_result read_store(struct replica *r, bool watcher,
+static enum cg_store_result read_store(struct docs_replica *r, bool watcher,
 				       GBytes **body, uint64_t *store_version)
 {
 	static const char *const names[CG_DOC_COUNT] = {
@@ -579,13 +343,13 @@
 		       : cg_store_get(s, names[r->doc], body, store_version);
 }
 
-static void note_read(struct replica *r, uint64_t version, cg_ms sent_at)
+static void note_read(struct docs_replica *r, uint64_t version, cg_ms sent_at)
 {
 	if (r->doc == CG_DOC_ROOT && version)
 		add_fresh(r->d, version, sent_at);
 }
 
-static void report_store_error(struct replica *r, enum cg_store_result res)
+static void report_store_error(struct docs_replica *r, enum cg_store_result res)
 {
 	char text[64];
 
@@ -597,9 +361,9 @@
  * a new one, 1 if it showed nothing useful, -1 if it failed. The time of the
  * evidence is that of the call's start, as the store may have produced its
  * result at any moment since. */
-static int read_once(struct replica *r, bool watcher)
+static int read_once(struct docs_replica *r, bool watcher)
 {
-	struct candidate c = { 0 };
+	struct docs_candidate c = { 0 };
 	cg_ms sent_at = cg_clock_now(r->d->clk);
 	uint64_t own = cg_docs_version(r->d, r->doc);
 	enum cg_store_result res;
@@ -633,13 +397,13 @@
 	abort();
 }
 
-static bool is_watcher(struct replica *r)
+bool docs_is_watcher(struct docs_replica *r)
 {
 	return cg_members_is_lowest(r->d->members, (uint64_t)r->doc + 1,
 				    WATCHERS_PER_FD);
 }
 
-static cg_ms poll_interval(const struct replica *r)
+static cg_ms poll_interval(const struct docs_replica *r)
 {
 	cg_ms ms = r->d->settings->poll_ms;
 
@@ -648,11 +412,12 @@
 
 /* The sleep is cut into slices, so that a daemon that becomes a watcher by a
  * change of the list starts its watch soon. */
-static void sleep_poll(struct replica *r)
+static void sleep_poll(struct docs_replica *r)
 {
 	cg_ms left = jitter(poll_interval(r));
 
-	while (left > 0 && !is_watcher(r) && !atomic_load(&r->d->stopping)) {
+	while (left > 0 && !docs_is_watcher(r) &&
+	       !atomic_load(&r->d->stopping)) {
 		cg_ms slice = MIN(left, WATCH_MS);
 
 		if (sleep_store(r, slice))
@@ -663,18 +428,18 @@
 
 static void *run_store(void *arg)
 {
-	struct replica *r = arg;
+	struct docs_replica *r = arg;
 	cg_ms backoff = BACKOFF_FIRST_MS;
 
 	while (!atomic_load(&r->d->stopping)) {
-		bool watcher = is_watcher(r);
+		bool watcher = docs_is_watcher(r);
 		int rc = read_once(r, watcher);
 
 		/* Also after a stale or missing object: a watch on it would
 		 * return at once again. */
 		if (rc) {
 			sleep_store(r, jitter(backoff));
-			backoff = MIN(backoff * 2, BACKOFF_MAX_MS);
+			backoff = MIN(backoff * 2, DOCS_BACKOFF_MAX_MS);
 			continue;
 		}
 		backoff = BACKOFF_FIRST_MS;
@@ -684,20 +449,21 @@
 	return NULL;
 }
 
-static int fetch_from(struct replica *r, const struct sockaddr_in *peer)
+static int fetch_from(struct docs_replica *r, const struct sockaddr_in *peer)
 {
-	struct candidate c = { .teller = peer };
+	struct docs_candidate c = { .teller = peer };
 	enum consider_result res;
 
-	if (cg_fetch_doc(r->d->peer, peer, r->doc, FETCH_TIMEOUT_MS, &c.content,
-			 &c.store_version))
+	if (cg_fetch_doc(r->d->peer, peer, r->doc, DOCS_FETCH_TIMEOUT_MS,
+			 &c.content, &c.store_version))
 		return -1;
 	res = consider(r, &c, false);
 	g_bytes_unref(c.content);
 	return res == CONSIDER_FAILED ? -1 : 0;
 }
 
-static bool take_offer(struct replica *r, struct sockaddr_in *out, size_t *n)
+static bool take_offer(struct docs_replica *r, struct sockaddr_in *out,
+		       size_t *n)
 {
 	bool any;
 
@@ -712,7 +478,7 @@
 }
 
 /* Asks every seed for its version and fetches the highest. */
-static void ask_seeds(struct replica *r)
+static void ask_seeds(struct docs_replica *r)
 {
 	const struct cg_settings *s = r->d->settings;
 
@@ -726,14 +492,14 @@
 		    s->seeds[i].sin_port == s->peer.sin_port)
 			continue;
 		if (!cg_fetch_version(r->d->peer, &s->seeds[i], r->doc,
-				      FETCH_TIMEOUT_MS, &v))
+				      DOCS_FETCH_TIMEOUT_MS, &v))
 			cg_docs_offer(r->d, r->doc, v, &s->seeds[i]);
 	}
 }
 
-static int try_offers(struct replica *r)
+static int try_offers(struct docs_replica *r)
 {
-	struct sockaddr_in peers[MAX_OFFERS];
+	struct sockaddr_in peers[DOCS_MAX_OFFERS];
 	size_t n;
 
 	if (!take_offer(r, peers, &n))
@@ -747,7 +513,7 @@
 
 static void *run_fetch(void *arg)
 {
-	struct replica *r = arg;
+	struct docs_replica *r = arg;
 	cg_ms backoff = BACKOFF_FIRST_MS;
 
 	while (!atomic_load(&r->d->stopping)) {
@@ -758,13 +524,13 @@
 		if (try_offers(r)) {
 			cg_docs_refresh(r->d, r->doc);
 			cg_sleep(jitter(backoff));
-			backoff = MIN(backoff * 2, BACKOFF_MAX_MS);
+			backoff = MIN(backoff * 2, DOCS_BACKOFF_MAX_MS);
 			continue;
 		}
 		backoff = BACKOFF_FIRST_MS;
 		pthread_mutex_lock(&r->lock);
 		if (!r->offer_count && !atomic_load(&r->d->stopping))
-			wait_locked(r, r->version ? BACKOFF_MAX_MS
+			wait_locked(r, r->version ? DOCS_BACKOFF_MAX_MS
 						  : jitter(EMPTY_RETRY_MS));
 		pthread_mutex_unlock(&r->lock);
 	}
@@ -773,7 +539,7 @@
 
 static void init_replica(struct cg_docs *d, enum cg_doc doc)
 {
-	struct replica *r = &d->replicas[doc];
+	struct docs_replica *r = &d->replicas[doc];
 
 	r->d = d;
 	r->doc = doc;
@@ -793,7 +559,7 @@
 	d->store = store;
 	d->peer = peer;
 	d->members = members;
-	d->parts = new_parts();
+	d->parts = docs_new_parts();
 	d->fresh_at = -CG_MS_NEVER;
 	pthread_mutex_init(&d->parts_lock, NULL);
 	pthread_mutex_init(&d->fresh_lock, NULL);
@@ -804,7 +570,7 @@
 
 void cg_docs_add_listener(struct cg_docs *d, cg_docs_listener fn, void *arg)
 {
-	if (d->listener_count == MAX_LISTENERS)
+	if (d->listener_count == DOCS_MAX_LISTENERS)
 		abort();
 	d->listeners[d->listener_count].fn = fn;
 	d->listeners[d->listener_count++].arg = arg;
@@ -813,7 +579,7 @@
 int cg_docs_start(struct cg_docs *d)
 {
 	for (int i = 0; i < CG_DOC_COUNT; i++) {
-		struct replica *r = &d->replicas[i];
+		struct docs_replica *r = &d->replicas[i];
 
 		if (pthread_create(&r->store_thread, NULL, run_store, r))
 			return -1;
@@ -829,14 +595,14 @@
 {
 	atomic_store(&d->stopping, true);
 	for (int i = 0; i < CG_DOC_COUNT; i++) {
-		struct replica *r = &d->replicas[i];
+		struct docs_replica *r = &d->replicas[i];
 
 		pthread_mutex_lock(&r->lock);
 		pthread_cond_broadcast(&r->wake);
 		pthread_mutex_unlock(&r->lock);
 	}
 	for (int i = 0; i < CG_DOC_COUNT; i++) {
-		struct replica *r = &d->replicas[i];
+		struct docs_replica *r = &d->replicas[i];
 
 		if (r->threads > 0)
 			pthread_join(r->store_thread, NULL);
@@ -851,7 +617,7 @@
 	if (!d)
 		return;
 	for (int i = 0; i < CG_DOC_COUNT; i++) {
-		struct replica *r = &d->replicas[i];
+		struct docs_replica *r = &d->replicas[i];
 
 		if (r->content)
 			g_bytes_unref(r->content);
@@ -869,76 +635,9 @@
 	g_free(d);
 }
 
-static int serve_doc(struct cg_docs *d, const struct cg_peer_msg *msg,
-		     GByteArray *reply)
-{
-	cg_x_doc_request q;
-	cg_x_doc_chunk a = { 0 };
-	struct replica *r;
-	GBytes *content = NULL;
-	int rc;
-
-	if (cg_xdr_decode((xdrproc_t)xdr_cg_x_doc_request, msg->body, msg->len,
-			  &q, sizeof(q)))
-		return -1;
-	if (q.doc >= CG_DOC_COUNT)
-		return -1;
-	r = &d->replicas[q.doc];
-	pthread_mutex_lock(&r->lock);
-	if (r->content &&
-	    (!q.content_version || q.content_version == r->version)) {
-		content = g_bytes_ref(r->content);
-		a.content_version = r->version;
-		a.store_version = r->store_version;
-		memcpy(a.digest, r->digest, sizeof(a.digest));
-	}
-	pthread_mutex_unlock(&r->lock);
-	if (content)
-		a.total = cg_cut_chunk(content, q.offset, CG_X_DOC_CHUNK,
-				       &a.chunk.chunk_val, &a.chunk.chunk_len);
-	rc = cg_xdr_encode((xdrproc_t)xdr_cg_x_doc_chunk, &a, reply);
-	if (content)
-		g_bytes_unref(content);
-	return rc;
-}
-
-static int serve_part(struct cg_docs *d, const struct cg_peer_msg *msg,
-		      GByteArray *reply)
-{
-	cg_x_part_request q;
-	cg_x_part_chunk a = { 0 };
-	GBytes *part;
-	int rc;
-
-	if (cg_xdr_decode((xdrproc_t)xdr_cg_x_part_request, msg->body, msg->len,
-			  &q, sizeof(q)))
-		return -1;
-	part = find_part(d, (const uint8_t *)q.digest);
-	if (part)
-		a.total = cg_cut_chunk(part, q.offset, CG_X_DOC_CHUNK,
-				       &a.chunk.chunk_val, &a.chunk.chunk_len);
-	rc = cg_xdr_encode((xdrproc_t)xdr_cg_x_part_chunk, &a, reply);
-	if (part)
-		g_bytes_unref(part);
-	return rc;
-}
-
-int cg_docs_handle(struct cg_docs *d, const struct cg_peer_msg *msg,
-		   GByteArray *reply)
-{
-	switch (msg->kind) {
-	case CG_MSG_GET_DOC:
-		return serve_doc(d, msg, reply);
-	case CG_MSG_GET_PART:
-		return serve_part(d, msg, reply);
-	default:
-		return -1;
-	}
-}
-
 uint64_t cg_docs_version(struct cg_docs *d, enum cg_doc doc)
 {
-	struct replica *r = &d->replicas[doc];
+	struct docs_replica *r = &d->replicas[doc];
 	uint64_t v;
 
 	pthread_mutex_lock(&r->lock);
@@ -962,7 +661,7 @@
 GBytes *cg_docs_content(struct cg_docs *d, enum cg_doc doc, uint64_t *version,
 			uint64_t *store_version)
 {
-	struct replica *r = &d->replicas[doc];
+	struct docs_replica *r = &d->replicas[doc];
 	GBytes *content;
 
 	pthread_mutex_lock(&r->lock);
@@ -978,7 +677,7 @@
 void cg_docs_offer(struct cg_docs *d, enum cg_doc doc, uint64_t version,
 		   const struct sockaddr_in *peer)
 {
-	struct replica *r;
+	struct docs_replica *r;
 
 	if ((unsigned int)doc >= CG_DOC_COUNT)
 		return;
@@ -991,7 +690,7 @@
 		r->offered = version;
 		r->offer_count = 0;
 	}
-	if (r->offer_count < MAX_OFFERS) {
+	if (r->offer_count < DOCS_MAX_OFFERS) {
 		r->offers[r->offer_count++] = *peer;
 		pthread_cond_broadcast(&r->wake);
 	}
@@ -1029,8 +728,8 @@
 int cg_docs_put(struct cg_docs *d, enum cg_doc doc, GBytes *content,
 		uint64_t store_version)
 {
-	struct candidate c = { .content = content,
-			       .store_version = store_version };
+	struct docs_candidate c = { .content = content,
+				    .store_version = store_version };
 
 	return consider(&d->replicas[doc], &c, false) == CONSIDER_FAILED ? -1
 									 : 0;
@@ -1038,51 +737,10 @@
 
 void cg_docs_refresh(struct cg_docs *d, enum cg_doc doc)
 {
-	struct replica *r = &d->replicas[doc];
+	struct docs_replica *r = &d->replicas[doc];
 
 	pthread_mutex_lock(&r->lock);
 	r->refresh = true;
 	pthread_cond_broadcast(&r->wake);
 	pthread_mutex_unlock(&r->lock);
 }
-
-static struct json_object *replica_status(struct replica *r, cg_ms now)
-{
-	struct json_object *o = json_object_new_object();
-
-	pthread_mutex_lock(&r->lock);
-	json_object_object_add(o, "version",
-			       json_object_new_uint64(r->version));
-	json_object_object_add(o, "store_version",
-			       json_object_new_uint64(r->store_version));
-	json_object_object_add(o, "source", json_object_new_string(r->source));
-	json_object_object_add(o, "last_error",
-			       json_object_new_string(r->last_error));
-	if (r->version)
-		json_object_object_add(
-			o, "adopted_ms_ago",
-			json_object_new_int64(now - r->adopted_at));
-	if (r->rejected_version)
-		json_object_object_add(
-			o, "rejected_version",
-			json_object_new_uint64(r->rejected_version));
-	pthread_mutex_unlock(&r->lock);
-	json_object_object_add(o, "watcher",
-			       json_object_new_boolean(is_watcher(r)));
-	return o;
-}
-
-struct json_object *cg_docs_status(struct cg_docs *d)
-{
-	struct json_object *o = json_object_new_object();
-	cg_ms now = cg_clock_now(d->clk);
-	cg_ms at = cg_docs_fresh_at(d);
-
-	for (int i = 0; i < CG_DOC_COUNT; i++)
-		json_object_object_add(o, cg_doc_name((enum cg_doc)i),
-				       replica_status(&d->replicas[i], now));
-	if (at != -CG_MS_NEVER)
-		json_object_object_add(o, "fresh_age_ms",
-				       json_object_new_int64(now - at));
-	return o;
-}
--- /dev/null
+++ b/src/control/docs_internal.h
@@ -0,0 +1,108 @@
+/* Layout of the document replica, shared by docs.c, docs_parts.c and
+ * docs_serve.c only. */
+#ifndef CELERYGLADE_CONTROL_DOCS_INTERNAL_H
+#define CELERYGLADE_CONTROL_DOCS_INTERNAL_H
+
+#include <pthread.h>
+#include <stdatomic.h>
+
+#include "internal/docs.h"
+#include "internal/instances.h"
+#include "internal/members.h"
+#include "internal/parts.h"
+
+#define DOCS_MAX_OFFERS	   4
+#define DOCS_MAX_LISTENERS 16
+/* A peer that was heard within this time is asked for parts; also the longest
+ * time between two tries at the store. */
+#define DOCS_BACKOFF_MAX_MS   5000
+#define DOCS_FETCH_TIMEOUT_MS 600
+
+struct docs_replica {
+	struct cg_docs *d;
+	enum cg_doc doc;
+
+	pthread_mutex_t lock;
+	pthread_cond_t wake;
+	GBytes *content;
+	uint8_t digest[CG_DIGEST_SIZE];
+	uint64_t version;
+	uint64_t store_version;
+	uint64_t rejected_version;
+	uint8_t rejected_digest[CG_DIGEST_SIZE]; /* Logged and counted once. */
+	bool refresh;
+	uint64_t offered;
+	struct sockaddr_in offers[DOCS_MAX_OFFERS];
+	size_t offer_count;
+	char source[32];
+	char last_error[160];
+	cg_ms adopted_at;
+
+	/* Held while a version is completed and adopted, never together with
+	 * a wait for the lock's conditions. */
+	pthread_mutex_t adopting;
+	pthread_t store_thread;
+	pthread_t fetch_thread;
+	int threads;
+};
+
+struct cg_docs {
+	const struct cg_settings *settings;
+	struct cg_clock *clk;
+	struct cg_store *store;
+	struct cg_peer *peer;
+	struct cg_members *members;
+	struct docs_replica replicas[CG_DOC_COUNT];
+	_Atomic bool stopping;
+
+	struct {
+		cg_docs_listener fn;
+		void *arg;
+	} listeners[DOCS_MAX_LISTENERS];
+	size_t listener_count;
+
+	struct cg_config *config; /* Read under RCU. */
+
+	pthread_mutex_t parts_lock;
+	GHashTable *parts; /* Digest to content. */
+	struct cg_part_ref *old_refs; /* Of the root before the present one. */
+	size_t old_ref_count;
+	struct cg_part_ref *refs;
+	size_t ref_count;
+
+	pthread_mutex_t fresh_lock;
+	cg_ms fresh_at;
+	uint64_t fresh_version;
+	cg_ms pending_at; /* Evidence for a version that is not adopted yet. */
+	uint64_t pending_version;
+};
+
+/* A version on its way to adoption. */
+struct docs_candidate {
+	GBytes *content;
+	uint64_t version;
+	uint64_t store_version;
+	const struct sockaddr_in *teller; /* NULL if it came from the store. */
+	struct cg_config *config;
+	struct cg_root root;
+	struct cg_instance_list list;
+};
+
+/* Returns a reference to a part that is held, or NULL. */
+GBytes *docs_find_part(struct cg_docs *d, const uint8_t *digest);
+
+/* Creates an empty table from digest to content. */
+GHashTable *docs_new_parts(void);
+
+/* Keeps the parts of @root and of the root before it. */
+void docs_prune_parts(struct cg_docs *d, const struct cg_root *root);
+
+/* Fetches the parts of a root into @out, whose references belong to the caller
+ * also after a failure. Returns 0 or -1. */
+int docs_gather_parts(struct docs_replica *r, const struct docs_candidate *c,
+		      bool watcher, GBytes **out);
+
+/* Whether this daemon watches the document in the store. */
+bool docs_is_watcher(struct docs_replica *r);
+
+#endif
