Drop the clock that the claims never used

Cause: cg_claims_new took a clock and kept it without reading it.

Ruled out: using it for the record's creation time; records of several daemons need wall-clock time.

Change: parameter and field removed; no behaviour changed.

--- a/include/internal/claims.h
+++ b/include/internal/claims.h
@@ -12,7 +12,7 @@
 struct cg_claims;
 
 /** Creates the controller and its threads. The caller owns the result. */
-struct cg_claims *cg_claims_new(struct cg_store *store, struct cg_clock *clk);
+struct cg_claims *cg_claims_new(struct cg_store *store);
 
 /** Finishes what is queued, then frees. */
 void cg_claims_free(struct cg_claims *c);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -115,7 +115,7 @@
 	p->balance = cg_balance_new(n->settings.instance, n->incarnation);
 	cg_docs_add_listener(p->docs, sync_balance, n);
 	p->dispatcher = cg_dispatcher_new(p);
-	p->claims = cg_claims_new(p->store, &n->clk);
+	p->claims = cg_claims_new(p->store);
 	if (p->timers && p->claims) {
 		n->housekeeping.fire = housekeeping;
 		housekeeping(&n->housekeeping);
--- a/src/request/claims.c
+++ b/src/request/claims.c
@@ -45,7 +45,6 @@
 
 struct cg_claims {
 	struct cg_store *store;
-	struct cg_clock *clk;
 	GAsyncQueue *jobs;
 	pthread_t threads[CLAIM_THREADS];
 	int thread_count;
@@ -355,12 +354,11 @@
 	g_async_queue_push(c->jobs, j);
 }
 
-struct cg_claims *cg_claims_new(struct cg_store *store, struct cg_clock *clk)
+struct cg_claims *cg_claims_new(struct cg_store *store)
 {
 	struct cg_claims *c = g_new0(struct cg_claims, 1);
 
 	c->store = store;
-	c->clk = clk;
 	c->jobs = g_async_queue_new();
 	for (; c->thread_count < CLAIM_THREADS; c->thread_count++)
 		if (pthread_create(&c->threads[c->thread_count], NULL, run, c))
