Keep min_share of a service's servers in use over the whole fleet

Cause: eject() kept half of min_share (0.35 where the operators state 0.7), and counted in one domain. The test's bound (6 of 9) came from that code.

Ruled out: the part of each domain alone, without word from the others: three servers in a domain would never allow an ejection. A fixed split of the fleet's allowance: the same for small services.

Change: brokers tell each other how many servers of each service they have ejected; one ejects while the fleet's sum stays at or below 1 - min_share of the service's servers. A domain that has not heard of all others within 1 s goes by its own part. Of two that ejected at the same moment, the one beyond its own part ends its oldest ejection. What may not be ejected stays suspect and is used last, as before.

Tests: ejection_keeps_a_floor now asks for at most 3 of 10 out at any moment (the stated 0.7; it was 6 of 9 at the end only); floor_counts_all_domains, cut_off_domain_keeps_its_own_floor and floor_holds_after_a_race. All four fail with the half put back. hanging_server_is_left and long_request_that_ends_clears_server get a fourth server: of three, none may be ejected at 0.7.

--- a/include/gateway/broker.h
+++ b/include/gateway/broker.h
@@ -96,7 +96,9 @@
 	double retry_ratio; /**< Repeats per request of a service. */
 	int64_t retry_slack; /**< Repeats beyond it, in one window. */
 	cg_ms retry_window_ms;
-	double min_share; /**< Part of a service's servers to be kept. */
+	/** Part of a service's servers, over all domains, that is never
+	 * ejected. */
+	double min_share;
 };
 
 struct cgw_broker;
@@ -146,16 +148,23 @@
 /** Whether any request runs or waits. */
 bool cgw_broker_busy(const struct cgw_broker *b);
 
+/** What the brokers of the domains tell each other of a service. */
+struct cgw_service_state {
+	const char *service; /**< Not owned. */
+	int64_t free_slots; /**< Of sound servers, less the waiting requests. */
+	int64_t ejected; /**< Servers that are ejected. */
+};
+
 /** Free slots of sound servers of a service in this domain. */
 int64_t cgw_broker_free_slots(struct cgw_broker *b, const char *service,
 			      cg_ms now);
-/** Notes the free slots that another domain's broker told. */
-void cgw_broker_note_free(struct cgw_broker *b, const char *domain,
-			  const char *service, int64_t free_slots, cg_ms now);
-/** Calls @p visit for each service with its free slots. */
+/** Notes what another domain's broker told. */
+void cgw_broker_note_state(struct cgw_broker *b, const char *domain,
+			   const struct cgw_service_state *state, cg_ms now);
+/** Calls @p visit for each service with its state in this domain. */
 void cgw_broker_each_service(struct cgw_broker *b, cg_ms now,
-			     void (*visit)(void *arg, const char *service,
-					   int64_t free_slots),
+			     void (*visit)(void *arg,
+					   const struct cgw_service_state *),
 			     void *arg);
 
 enum cgw_trust {
--- a/src/gateway/broker.c
+++ b/src/gateway/broker.c
@@ -6,9 +6,6 @@
 
 #include "internal/logging.h"
 
-/* What another domain told of its free slots is used for this long; domains
- * tell each other four times a second. */
-#define FREE_NOTE_MS 1000
 /* Slots left to the other domain's own requests. */
 #define FREE_RESERVE 1
 /* Grants outlive the caller's deadline by this, for a lost release. */
@@ -337,7 +334,7 @@
 {
 	struct cgw_verdict v = { .kind = CGW_ELSEWHERE, .id = a->id };
 	bool helpless = !usable_slots(s, now);
-	struct cgw_free_note *best = NULL;
+	struct cgw_note *best = NULL;
 	GHashTableIter it;
 	gpointer key, value;
 
@@ -345,9 +342,9 @@
 		return false;
 	g_hash_table_iter_init(&it, s->elsewhere);
 	while (g_hash_table_iter_next(&it, &key, &value)) {
-		struct cgw_free_note *n = value;
+		struct cgw_note *n = value;
 
-		if (now - n->at > FREE_NOTE_MS ||
+		if (now - n->at > CGW_NOTE_MS ||
 		    (n->free_slots <= FREE_RESERVE && !helpless) ||
 		    (best && best->free_slots >= n->free_slots))
 			continue;
@@ -722,9 +719,15 @@
 	g_hash_table_iter_init(&it, b->servers);
 	while (g_hash_table_iter_next(&it, NULL, &value))
 		((struct cgw_server *)value)->listed = false;
-	for (size_t i = 0; i < n; i++)
+	g_hash_table_iter_init(&it, b->services);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		((struct cgw_service *)value)->fleet_servers = 0;
+	for (size_t i = 0; i < n; i++) {
+		service_of(b, servers[i].service)->fleet_servers +=
+			!servers[i].leaving;
 		if (!strcmp(servers[i].domain, b->settings.domain))
 			update_server(b, &servers[i], now);
+	}
 	g_hash_table_iter_init(&it, b->servers);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct cgw_server *s = value;
@@ -781,6 +784,7 @@
 	retry_warming(b, now);
 	g_hash_table_iter_init(&it, b->services);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		cgw_service_keep_floor(b, value, now);
 		serve_waiting(b, value, now);
 		refuse_late(b, value, now);
 	}
@@ -814,31 +818,39 @@
 	return s ? free_slots(s, now) : 0;
 }
 
-void cgw_broker_note_free(struct cgw_broker *b, const char *domain,
-			  const char *service, int64_t n, cg_ms now)
+void cgw_broker_note_state(struct cgw_broker *b, const char *domain,
+			   const struct cgw_service_state *state, cg_ms now)
 {
-	struct cgw_service *s = service_of(b, service);
-	struct cgw_free_note *note = g_hash_table_lookup(s->elsewhere, domain);
+	struct cgw_service *s = service_of(b, state->service);
+	struct cgw_note *note = g_hash_table_lookup(s->elsewhere, domain);
 
 	if (!note) {
-		note = g_new0(struct cgw_free_note, 1);
+		note = g_new0(struct cgw_note, 1);
 		g_hash_table_insert(s->elsewhere, g_strdup(domain), note);
 	}
-	note->free_slots = n;
+	note->free_slots = state->free_slots;
+	note->ejected = state->ejected;
 	note->at = now;
 }
 
 void cgw_broker_each_service(struct cgw_broker *b, cg_ms now,
-			     void (*visit)(void *arg, const char *service,
-					   int64_t free_slots),
+			     void (*visit)(void *arg,
+					   const struct cgw_service_state *),
 			     void *arg)
 {
 	GHashTableIter it;
 	gpointer key, value;
 
 	g_hash_table_iter_init(&it, b->services);
-	while (g_hash_table_iter_next(&it, &key, &value))
-		visit(arg, key, free_slots(value, now));
+	while (g_hash_table_iter_next(&it, &key, &value)) {
+		struct cgw_service_state state = {
+			.service = key,
+			.free_slots = free_slots(value, now),
+			.ejected = cgw_service_ejected(value, now),
+		};
+
+		visit(arg, &state);
+	}
 }
 
 int cgw_broker_trust(struct cgw_broker *b, const char *server, cg_ms now)
--- a/src/gateway/broker_internal.h
+++ b/src/gateway/broker_internal.h
@@ -24,14 +24,21 @@
 	unsigned int waiting_count;
 	GArray *firsts; /**< cg_ms of first asks in the retry window. */
 	GArray *repeats; /**< cg_ms of repeats in it. */
-	GHashTable *elsewhere; /**< domain to struct cgw_free_note */
+	GHashTable *elsewhere; /**< domain to struct cgw_note */
+	int64_t fleet_servers; /**< Of all domains, less those that leave. */
 };
 
-struct cgw_free_note {
+/** What another domain told of a service. */
+struct cgw_note {
 	int64_t free_slots;
+	int64_t ejected;
 	cg_ms at;
 };
 
+/** What another domain told is used for this long: two of its messages, one
+ * each 400 ms, may be lost. */
+#define CGW_NOTE_MS 1000
+
 struct cgw_server {
 	struct cgw_server_facts facts;
 	struct cgw_service *service;
@@ -91,6 +98,12 @@
 
 /** Trust of a server; see broker_trust.c. */
 enum cgw_trust cgw_server_trust(struct cgw_server *s, cg_ms now);
+/** Servers of the service that are ejected in this domain. */
+int64_t cgw_service_ejected(const struct cgw_service *s, cg_ms now);
+/** Ends the oldest ejection if the domains together have gone below the floor
+ * before they heard of each other. */
+void cgw_service_keep_floor(struct cgw_broker *b, struct cgw_service *s,
+			    cg_ms now);
 /** Whether a server may be sent one more request at this trust. */
 bool cgw_server_has_room(struct cgw_server *s, cg_ms now);
 /** Notes that a request in flight passed the thresholds of its age. */
--- a/src/gateway/broker_trust.c
+++ b/src/gateway/broker_trust.c
@@ -52,30 +52,71 @@
 /* Above the pause after one lost packet. */
 #define LEAST_OVERDUE_MS 250
 
-static void eject(struct cgw_broker *b, struct cgw_server *s, cg_ms now)
+static int64_t count(const struct cgw_service *s, bool ejected, cg_ms now)
+{
+	int64_t n = 0;
+
+	for (guint i = 0; i < s->servers->len; i++) {
+		const struct cgw_server *o = g_ptr_array_index(s->servers, i);
+
+		n += !o->facts.leaving && (!ejected || o->ejected_until > now);
+	}
+	return n;
+}
+
+int64_t cgw_service_ejected(const struct cgw_service *s, cg_ms now)
+{
+	return count(s, true, now);
+}
+
+/* How many of @p servers may be ejected at once. */
+static int64_t may_eject(const struct cgw_broker *b, int64_t servers)
+{
+	/* 0.3 of ten servers are three, though 1 - 0.7 is a little less. */
+	return (int64_t)floor((1 - b->settings.min_share) * (double)servers +
+			      1e-9);
+}
+
+/* How many more servers of the service may be ejected here; negative below the
+ * floor. The floor is that of the fleet. A domain that has not heard of all
+ * others uses no more than its own part. */
+static int64_t floor_room(const struct cgw_broker *b,
+			  const struct cgw_service *s, cg_ms now)
 {
-	unsigned int out = 0, all = 0;
+	int64_t own = count(s, true, now);
+	int64_t out = own;
+	unsigned int heard = 1;
+	GHashTableIter it;
+	gpointer value;
 
-	for (guint i = 0; i < s->service->servers->len; i++) {
-		struct cgw_server *o =
-			g_ptr_array_index(s->service->servers, i);
+	g_hash_table_iter_init(&it, s->elsewhere);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct cgw_note *n = value;
 
-		if (o->facts.leaving)
+		if (now - n->at > CGW_NOTE_MS)
 			continue;
-		all++;
-		out += o->ejected_until > now;
+		heard++;
+		out += n->ejected;
 	}
+	if (heard < b->settings.domains)
+		return may_eject(b, count(s, false, now)) - own;
+	return may_eject(b, s->fleet_servers) - out;
+}
+
+static void eject(struct cgw_broker *b, struct cgw_server *s, cg_ms now)
+{
 	/* Ejection stops at the floor; what is below it stays suspect and is
 	 * used when nothing better is free. */
-	if (s->ejected_until <= now &&
-	    (double)(all - out - 1) < b->settings.min_share * all * 0.5)
+	if (s->ejected_until <= now && floor_room(b, s->service, now) < 1)
 		return;
 	if (s->ejected_until <= now) {
 		b->ejections++;
 		cg_info("server %s of %s ejected, suspicion %.1f, %d in flight, "
-			"%u of %u out",
+			"%d of %d out here, %d in the fleet",
 			s->facts.id, s->service->name, s->suspicion,
-			(int)s->inflight, out + 1, all);
+			(int)s->inflight, (int)count(s->service, true, now) + 1,
+			(int)count(s->service, false, now),
+			(int)s->service->fleet_servers);
 	}
 	s->ejected_until = now + (s->probation ? EJECT_AGAIN_MS : EJECT_MS);
 	s->probation = true;
@@ -113,6 +154,30 @@
 	return s->probation ? CGW_TRUST_PROBATION : CGW_TRUST_SOUND;
 }
 
+void cgw_service_keep_floor(struct cgw_broker *b, struct cgw_service *s,
+			    cg_ms now)
+{
+	struct cgw_server *oldest = NULL;
+
+	/* Of the domains that ejected at the same moment, those beyond their
+	 * own part give way. */
+	if (floor_room(b, s, now) >= 0 ||
+	    count(s, true, now) <= may_eject(b, count(s, false, now)))
+		return;
+	for (guint i = 0; i < s->servers->len; i++) {
+		struct cgw_server *o = g_ptr_array_index(s->servers, i);
+
+		if (!o->facts.leaving && o->ejected_until > now &&
+		    (!oldest || o->ejected_until < oldest->ejected_until))
+			oldest = o;
+	}
+	if (!oldest)
+		return;
+	cg_info("server %s of %s back, since the fleet is below the floor",
+		oldest->facts.id, s->name);
+	oldest->ejected_until = now;
+}
+
 bool cgw_server_has_room(struct cgw_server *s, cg_ms now)
 {
 	if (s->facts.leaving || s->full_until > now)
--- a/src/gateway/fleet_beat.c
+++ b/src/gateway/fleet_beat.c
@@ -14,9 +14,17 @@
 		g_array_append_val(a, x);
 }
 
-static void add_free(void *arg, const char *service, int64_t n)
+static void add_service(void *arg, const struct cgw_service_state *state)
 {
-	add_amount(arg, service, n);
+	GArray *a = arg;
+	fleet_service x = {
+		.name = (char *)state->service,
+		.free_slots = (int)CLAMP(state->free_slots, G_MININT, G_MAXINT),
+		.ejected = (u_int)CLAMP(state->ejected, 0, G_MAXINT),
+	};
+
+	if (a->len < FLEET_LIST_MAX)
+		g_array_append_val(a, x);
 }
 
 static void add_demand(void *arg, const char *account, int64_t milli)
@@ -54,16 +62,16 @@
 {
 	cg_ms now = cgw_loop_now(f->loop);
 	fleet_body b = { .kind = FLEET_BEAT };
-	GArray *free_slots = g_array_new(FALSE, FALSE, sizeof(fleet_amount));
+	GArray *services = g_array_new(FALSE, FALSE, sizeof(fleet_service));
 	GArray *demand = g_array_new(FALSE, FALSE, sizeof(fleet_amount));
 
 	f->beat_at = now;
 	/* Servers may have left since the list was read. */
 	if (cgw_fleet_knows_servers(f))
-		cgw_broker_each_service(f->broker, now, add_free, free_slots);
+		cgw_broker_each_service(f->broker, now, add_service, services);
 	cgw_quota_each(cgw_broker_quota(f->broker), now, add_demand, demand);
-	b.fleet_body_u.beat.free.free_val = (void *)free_slots->data;
-	b.fleet_body_u.beat.free.free_len = free_slots->len;
+	b.fleet_body_u.beat.services.services_val = (void *)services->data;
+	b.fleet_body_u.beat.services.services_len = services->len;
 	b.fleet_body_u.beat.demand.demand_val = (void *)demand->data;
 	b.fleet_body_u.beat.demand.demand_len = demand->len;
 	for (guint i = 0; i < f->settings->domains->len; i++) {
@@ -78,7 +86,7 @@
 		else
 			ping_other_domain(f, domain);
 	}
-	g_array_unref(free_slots);
+	g_array_unref(services);
 	g_array_unref(demand);
 }
 
@@ -104,10 +112,16 @@
 	if (cgw_fleet_own_domain(f, m))
 		return;
 	cgw_fleet_note_other_broker(f, m->domain, m->name, m->ip);
-	for (u_int i = 0; i < b->free.free_len; i++)
-		cgw_broker_note_free(f->broker, m->domain,
-				     b->free.free_val[i].name,
-				     b->free.free_val[i].amount, now);
+	for (u_int i = 0; i < b->services.services_len; i++) {
+		const fleet_service *x = &b->services.services_val[i];
+		struct cgw_service_state state = {
+			.service = x->name,
+			.free_slots = x->free_slots,
+			.ejected = x->ejected,
+		};
+
+		cgw_broker_note_state(f->broker, m->domain, &state, now);
+	}
 	for (u_int i = 0; i < b->demand.demand_len; i++)
 		cgw_quota_note(cgw_broker_quota(f->broker), m->domain,
 			       b->demand.demand_val[i].name,
--- a/src/rpc/fleet_wire.x
+++ b/src/rpc/fleet_wire.x
@@ -87,10 +87,16 @@
 	int amount;
 };
 
-/* One broker to another domain's: free slots by service and the demand of
- * client accounts in thousandths of a request per second. */
+struct fleet_service {
+	fleet_name name;
+	int free_slots; /* of sound servers */
+	unsigned int ejected; /* servers */
+};
+
+/* One broker to another domain's: the state of the services there and the
+ * demand of client accounts in thousandths of a request per second. */
 struct fleet_beat {
-	fleet_amount free<FLEET_LIST_MAX>;
+	fleet_service services<FLEET_LIST_MAX>;
 	fleet_amount demand<FLEET_LIST_MAX>;
 };
 
--- a/src/rpc/gen/fleet_wire.h
+++ b/src/rpc/gen/fleet_wire.h
@@ -110,11 +110,18 @@
 };
 typedef struct fleet_amount fleet_amount;
 
+struct fleet_service {
+	fleet_name name;
+	int free_slots;
+	u_int ejected;
+};
+typedef struct fleet_service fleet_service;
+
 struct fleet_beat {
 	struct {
-		u_int free_len;
-		fleet_amount *free_val;
-	} free;
+		u_int services_len;
+		fleet_service *services_val;
+	} services;
 	struct {
 		u_int demand_len;
 		fleet_amount *demand_val;
@@ -173,6 +180,7 @@
 extern  bool_t xdr_fleet_waiting (XDR *, fleet_waiting*);
 extern  bool_t xdr_fleet_release (XDR *, fleet_release*);
 extern  bool_t xdr_fleet_amount (XDR *, fleet_amount*);
+extern  bool_t xdr_fleet_service (XDR *, fleet_service*);
 extern  bool_t xdr_fleet_beat (XDR *, fleet_beat*);
 extern  bool_t xdr_fleet_kind (XDR *, fleet_kind*);
 extern  bool_t xdr_fleet_body (XDR *, fleet_body*);
@@ -190,6 +198,7 @@
 extern bool_t xdr_fleet_waiting ();
 extern bool_t xdr_fleet_release ();
 extern bool_t xdr_fleet_amount ();
+extern bool_t xdr_fleet_service ();
 extern bool_t xdr_fleet_beat ();
 extern bool_t xdr_fleet_kind ();
 extern bool_t xdr_fleet_body ();
--- a/src/rpc/gen/fleet_wire_xdr.c
+++ b/src/rpc/gen/fleet_wire_xdr.c
@@ -238,13 +238,27 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fleet_service (XDR *xdrs, fleet_service *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_fleet_name (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->free_slots))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ejected))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fleet_beat (XDR *xdrs, fleet_beat *objp)
 {
 	register int32_t *buf;
 
-	 if (!xdr_array (xdrs, (char **)&objp->free.free_val, (u_int *) &objp->free.free_len, FLEET_LIST_MAX,
-		sizeof (fleet_amount), (xdrproc_t) xdr_fleet_amount))
+	 if (!xdr_array (xdrs, (char **)&objp->services.services_val, (u_int *) &objp->services.services_len, FLEET_LIST_MAX,
+		sizeof (fleet_service), (xdrproc_t) xdr_fleet_service))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->demand.demand_val, (u_int *) &objp->demand.demand_len, FLEET_LIST_MAX,
 		sizeof (fleet_amount), (xdrproc_t) xdr_fleet_amount))
--- a/tests/support/gateway_world.c
+++ b/tests/support/gateway_world.c
@@ -39,20 +39,73 @@
 			       w->servers->len, w->now);
 }
 
-void world_add_server(struct world *w, const char *id, const char *service,
-		      int64_t slots)
+static void add_server(struct world *w, const char *id, const char *service,
+		       const char *domain, int64_t slots)
 {
 	struct cgw_server_facts f = { .slots = slots };
 
 	g_strlcpy(f.id, id, sizeof(f.id));
 	g_strlcpy(f.service, service, sizeof(f.service));
-	g_strlcpy(f.domain, "a", sizeof(f.domain));
+	g_strlcpy(f.domain, domain, sizeof(f.domain));
 	g_snprintf(f.address, sizeof(f.address), "10.0.0.%u:80",
 		   w->servers->len + 1);
 	g_array_append_val(w->servers, f);
 	world_list(w);
 }
 
+void world_add_server(struct world *w, const char *id, const char *service,
+		      int64_t slots)
+{
+	add_server(w, id, service, "a", slots);
+}
+
+void world_add_servers(struct world *w, const char *service, unsigned int n,
+		       int64_t slots)
+{
+	char id[CGW_NAME_MAX];
+
+	for (unsigned int i = 1; i <= n; i++) {
+		g_snprintf(id, sizeof(id), "s%u", i);
+		add_server(w, id, service, "a", slots);
+	}
+}
+
+void world_add_elsewhere(struct world *w, const char *service,
+			 const char *domain, unsigned int n)
+{
+	char id[CGW_NAME_MAX];
+
+	for (unsigned int i = 1; i <= n; i++) {
+		g_snprintf(id, sizeof(id), "s%s%u", domain, i);
+		add_server(w, id, service, domain, 1);
+	}
+}
+
+void world_hear(struct world *w, const char *domain, const char *service,
+		int64_t free_slots, int64_t ejected)
+{
+	struct cgw_service_state state = {
+		.service = service,
+		.free_slots = free_slots,
+		.ejected = ejected,
+	};
+
+	cgw_broker_note_state(w->broker, domain, &state, w->now);
+}
+
+unsigned int world_ejected(struct world *w, unsigned int n)
+{
+	unsigned int out = 0;
+	char id[CGW_NAME_MAX];
+
+	for (unsigned int i = 1; i <= n; i++) {
+		g_snprintf(id, sizeof(id), "s%u", i);
+		out += cgw_broker_trust(w->broker, id, w->now) ==
+		       CGW_TRUST_EJECTED;
+	}
+	return out;
+}
+
 struct cgw_ask world_ask(struct world *w, const char *service, bool safe)
 {
 	struct cgw_ask a = { .id = w->next_id++,
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -24,6 +24,17 @@
 /** Adds a server of domain "a" and hands the list to the broker. */
 void world_add_server(struct world *w, const char *id, const char *service,
 		      int64_t slots);
+/** Adds servers "s1" to "s@p n" of domain "a". */
+void world_add_servers(struct world *w, const char *service, unsigned int n,
+		       int64_t slots);
+/** Adds @p n servers of another domain, "s" with the domain and a number. */
+void world_add_elsewhere(struct world *w, const char *service,
+			 const char *domain, unsigned int n);
+/** What another domain's broker tells of a service. */
+void world_hear(struct world *w, const char *domain, const char *service,
+		int64_t free_slots, int64_t ejected);
+/** How many of "s1" to "s@p n" are ejected. */
+unsigned int world_ejected(struct world *w, unsigned int n);
 /** Hands the present list to the broker. */
 void world_list(struct world *w);
 /** An ask with an objective of 1000 ms and 5000 ms to go. */
--- a/tests/test_gateway_broker.c
+++ b/tests/test_gateway_broker.c
@@ -203,9 +203,7 @@
 
 	(void)state;
 	world_init(&w, 1);
-	world_add_server(&w, "s1", "svc", 3);
-	world_add_server(&w, "s2", "svc", 3);
-	world_add_server(&w, "s3", "svc", 3);
+	world_add_servers(&w, "svc", 4, 3);
 	teach_usual(&w, "svc", 200);
 	a = world_ask(&w, "svc", false);
 	v = world_put(&w, &a);
@@ -237,9 +235,7 @@
 
 	(void)state;
 	world_init(&w, 1);
-	world_add_server(&w, "s1", "svc", 3);
-	world_add_server(&w, "s2", "svc", 3);
-	world_add_server(&w, "s3", "svc", 3);
+	world_add_servers(&w, "svc", 4, 3);
 	teach_usual(&w, "svc", 200);
 	a = world_ask(&w, "svc", false);
 	v = world_put(&w, &a);
@@ -385,35 +381,90 @@
 }
 
 /* Ejection stops at the floor. */
+/* Loses every response for 20 s. Returns the most servers that were ejected at
+ * one moment. */
+static unsigned int most_ejected(struct world *w, unsigned int servers,
+				 int64_t elsewhere)
+{
+	unsigned int most = 0;
+
+	for (int i = 0; i < 2000; i++) {
+		struct cgw_ask a = world_ask(w, "svc", true);
+		const struct cgw_verdict *v = world_put(w, &a);
+
+		if (v && v->kind == CGW_GRANTED)
+			world_release(w, a.id, CGW_RESULT_LOST, 10);
+		if (elsewhere >= 0 && i % 25 == 0) {
+			world_hear(w, "b", "svc", 0, elsewhere);
+			world_hear(w, "c", "svc", 0, 0);
+		}
+		world_pass(w, 10);
+		most = MAX(most, world_ejected(w, servers));
+	}
+	return most;
+}
+
+/* Pattern: the whole service fails. Of ten servers seven stay in use, as the
+ * operator's least share of 0.7 asks. */
 static void ejection_keeps_a_floor(void **state)
 {
 	struct world w;
-	unsigned int out = 0;
 
 	(void)state;
 	world_init(&w, 1);
-	for (int i = 1; i <= 9; i++) {
-		char id[8];
+	world_add_servers(&w, "svc", 10, 3);
+	assert_int_equal(most_ejected(&w, 10, -1), 3);
+	world_clear(&w);
+}
 
-		snprintf(id, sizeof(id), "s%d", i);
-		world_add_server(&w, id, "svc", 3);
-	}
-	for (int i = 0; i < 200; i++) {
-		struct cgw_ask a = world_ask(&w, "svc", true);
-		const struct cgw_verdict *v = world_put(&w, &a);
+/* The floor is the fleet's: of nine servers in three domains two may be out,
+ * where a domain by itself could eject none of its three. */
+static void floor_counts_all_domains(void **state)
+{
+	struct world w;
 
-		if (v && v->kind == CGW_GRANTED)
-			world_release(&w, a.id, CGW_RESULT_LOST, 10);
-		world_pass(&w, 10);
-	}
-	for (int i = 1; i <= 9; i++) {
-		char id[8];
+	(void)state;
+	world_init(&w, 3);
+	world_add_servers(&w, "svc", 3, 3);
+	world_add_elsewhere(&w, "svc", "b", 3);
+	world_add_elsewhere(&w, "svc", "c", 3);
+	assert_int_equal(most_ejected(&w, 3, 0), 2);
+	/* One is out in another domain. */
+	world_pass(&w, 10000);
+	assert_int_equal(most_ejected(&w, 3, 1), 1);
+	world_clear(&w);
+}
 
-		snprintf(id, sizeof(id), "s%d", i);
-		out += cgw_broker_trust(w.broker, id, w.now) ==
-		       CGW_TRUST_EJECTED;
-	}
-	assert_true(out <= 6);
+/* Pattern: a third of the machines cut off. Without word from the others a
+ * domain ejects no more than its own part. */
+static void cut_off_domain_keeps_its_own_floor(void **state)
+{
+	struct world w;
+
+	(void)state;
+	world_init(&w, 3);
+	world_add_servers(&w, "svc", 7, 3);
+	world_add_elsewhere(&w, "svc", "b", 7);
+	world_add_elsewhere(&w, "svc", "c", 7);
+	assert_int_equal(most_ejected(&w, 7, -1), 2);
+	world_clear(&w);
+}
+
+/* Two domains ejected at the same moment and hear of each other afterwards. */
+static void floor_holds_after_a_race(void **state)
+{
+	struct world w;
+
+	(void)state;
+	world_init(&w, 3);
+	world_add_servers(&w, "svc", 3, 3);
+	world_add_elsewhere(&w, "svc", "b", 3);
+	world_add_elsewhere(&w, "svc", "c", 3);
+	assert_int_equal(most_ejected(&w, 3, 0), 2);
+	world_hear(&w, "b", "svc", 0, 1);
+	world_hear(&w, "c", "svc", 0, 0);
+	world_pass(&w, 100);
+	assert_true(world_ejected(&w, 3) <= 1);
 	world_clear(&w);
 }
 
@@ -462,7 +513,7 @@
 	world_add_server(&w, "s1", "svc", 1);
 	a = world_ask(&w, "svc", true);
 	world_put(&w, &a);
-	cgw_broker_note_free(w.broker, "b", "svc", 5, w.now);
+	world_hear(&w, "b", "svc", 5, 0);
 	b = world_ask(&w, "svc", true);
 	v = world_put(&w, &b);
 	assert_non_null(v);
@@ -758,6 +809,9 @@
 		cmocka_unit_test(late_server_stands_behind),
 		cmocka_unit_test(safe_requests_try_a_returning_server),
 		cmocka_unit_test(ejection_keeps_a_floor),
+		cmocka_unit_test(floor_counts_all_domains),
+		cmocka_unit_test(cut_off_domain_keeps_its_own_floor),
+		cmocka_unit_test(floor_holds_after_a_race),
 		cmocka_unit_test(repeats_stop_at_the_budget),
 		cmocka_unit_test(full_domain_sends_elsewhere),
 		cmocka_unit_test(foreign_ask_never_waits),
