--- a/Makefile
+++ b/Makefile
@@ -77,8 +77,8 @@
 	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS)
 $(B)/tests/test_%: $(B)/tests/test_%.o $(SUPPORT_LIBS) $(B)/libplatform.a $(B)/libgateway.a $(B)/libceleryglade.a
 	$(CC) $(SANFLAGS) -o $@ $^ $(CMOCKA) $(CURL) $(LDLIBS) -lhttp_parser
-$(B)/bench/%: $(B)/bench/%.o $(BENCH_LIB_SRC:%.c=$(B)/%.o) $(SUPPORT_LIBS) $(B)/libceleryglade.a
-	$(CC) $(SANFLAGS) -o $@ $^ $(CMOCKA) $(CURL) $(LDLIBS)
+$(B)/bench/%: $(B)/bench/%.o $(BENCH_LIB_SRC:%.c=$(B)/%.o) $(SUPPORT_LIBS) $(B)/libgateway.a $(B)/libceleryglade.a
+	$(CC) $(SANFLAGS) -o $@ $^ $(CMOCKA) $(CURL) $(LDLIBS) -lhttp_parser
 
 platform: $(B)/celeryglade-gateway
 $(B)/libgateway.a: $(GATEWAY_SRC:%.c=$(B)/%.o) $(GATEWAY_BASE:%.c=$(B)/%.o)
--- /dev/null
+++ b/replay/broker_sim.c
@@ -0,0 +1,863 @@
+#include "broker_sim.h"
+
+#include <glib.h>
+#include <math.h>
+#include <string.h>
+
+#include "gateway/broker.h"
+
+#define WARM_MS	    5000 /* Brokers know usual times and accounts by then. */
+#define TICK_MS	    50 /* As in the gateway. */
+#define BEAT_MS	    400 /* As in the gateway. */
+#define SAMPLE_MS   100
+#define SPELL_MS    6000 /* Gray spells of the sites last 1 to 12 s. */
+#define FLAP_MS	    1000
+#define SICK_IN_TEN 3
+#define SLOW_X	    5
+#define HOT_X	    7
+#define BURST_X	    3
+#define FIVE_OUT_MS 5000
+#define FIVE	    5
+#define ATTEMPTS    3
+
+enum event_kind {
+	EVENT_ARRIVAL,
+	EVENT_ANSWER,
+	EVENT_SHED,
+	EVENT_OVERDUE,
+	EVENT_TIMEOUT,
+	EVENT_TICK,
+	EVENT_BEAT,
+	EVENT_SAMPLE,
+};
+
+struct event {
+	cg_ms at;
+	uint64_t order;
+	enum event_kind kind;
+	uint64_t id; /* Of the attempt or call. */
+};
+
+struct server {
+	char id[16], address[32];
+	unsigned int index, service, domain;
+	int64_t inflight;
+	bool sick; /* Of those that the pattern strikes. */
+	cg_ms hung_since; /* 0 if it does not hang. */
+	bool found;
+};
+
+struct attempt {
+	uint64_t call;
+	unsigned int server;
+	cg_ms started;
+	unsigned int broker; /* Domain of the broker that granted it. */
+	bool granted, hangs, ended;
+	bool taken; /* A slot of the server. */
+	bool foreign, stay;
+};
+
+struct call {
+	unsigned int daemon, account, service;
+	bool safe, done;
+	cg_ms born;
+	unsigned int attempts;
+	uint64_t attempt[ATTEMPTS];
+};
+
+/* One daemon's own view of a server, for the baselines. */
+struct view {
+	int32_t inflight, failures;
+	cg_ms out_until;
+};
+
+struct sim;
+
+struct domain {
+	struct sim *sim;
+	unsigned int index;
+	char name[8];
+	struct cgw_broker *broker;
+};
+
+struct sim {
+	struct sim_options o;
+	struct sim_result *out;
+	GRand *rand;
+	cg_ms now, end;
+	GArray *heap; /* struct event */
+	uint64_t order, messages, samples, false_samples;
+	struct server *servers;
+	struct domain *domains;
+	struct view *views; /* daemon x server, baselines only */
+	GArray *attempts, *calls;
+	uint64_t *asked, *served; /* By account. */
+	GArray *small; /* cg_ms that small accounts waited. */
+	double detect_sum;
+	bool burst, struck;
+};
+
+void sim_defaults(struct sim_options *o)
+{
+	*o = (struct sim_options){
+		.daemons = 48,
+		.domains = 3,
+		.services = 4,
+		.servers = 120,
+		.accounts = 20,
+		.slots = 3,
+		.load = 0.5,
+		.safe_part = 0.6,
+		.work_ms = 200,
+		.objective_ms = 800,
+		.timeout_ms = 3000,
+		.length_ms = 30000,
+		.seed = 1,
+	};
+}
+
+const char *sim_policy_name(enum sim_policy p)
+{
+	static const char *const names[SIM_POLICY_COUNT] = { "broker", "own",
+							     "five", "split" };
+
+	return (unsigned int)p < SIM_POLICY_COUNT ? names[p] : "?";
+}
+
+const char *sim_pattern_name(enum sim_pattern p)
+{
+	static const char *const names[SIM_PATTERN_COUNT] = {
+		"steady",   "burst",	"hot-account", "hanging", "slow",
+		"flapping", "shedding", "shortage",    "cut"
+	};
+
+	return (unsigned int)p < SIM_PATTERN_COUNT ? names[p] : "?";
+}
+
+static bool before(const struct event *a, const struct event *b)
+{
+	return a->at != b->at ? a->at < b->at : a->order < b->order;
+}
+
+static void push(struct sim *s, cg_ms at, enum event_kind kind, uint64_t id)
+{
+	struct event e = {
+		.at = at, .order = s->order++, .kind = kind, .id = id
+	};
+	struct event *h;
+	guint i = s->heap->len;
+
+	g_array_append_val(s->heap, e);
+	h = (struct event *)(void *)s->heap->data;
+	for (; i && before(&e, &h[(i - 1) / 2]); i = (i - 1) / 2)
+		h[i] = h[(i - 1) / 2];
+	h[i] = e;
+}
+
+static struct event pop(struct sim *s)
+{
+	struct event *h = (struct event *)(void *)s->heap->data;
+	guint n = s->heap->len - 1, i = 0;
+	struct event top = h[0], last = h[n];
+
+	for (;;) {
+		guint k = 2 * i + 1;
+
+		if (k >= n)
+			break;
+		if (k + 1 < n && before(&h[k + 1], &h[k]))
+			k++;
+		if (!before(&h[k], &last))
+			break;
+		h[i] = h[k];
+		i = k;
+	}
+	h[i] = last;
+	g_array_set_size(s->heap, n);
+	return top;
+}
+
+static struct attempt *attempt_of(struct sim *s, uint64_t id)
+{
+	return &g_array_index(s->attempts, struct attempt, id);
+}
+
+static struct call *call_of(struct sim *s, uint64_t id)
+{
+	return &g_array_index(s->calls, struct call, id);
+}
+
+static unsigned int domain_of(const struct sim *s, unsigned int daemon)
+{
+	return daemon % s->o.domains;
+}
+
+static struct view *view_of(struct sim *s, unsigned int daemon,
+			    unsigned int server)
+{
+	return &s->views[(size_t)daemon * s->o.servers + server];
+}
+
+static double exponential(struct sim *s, double mean)
+{
+	return -log(1 - g_rand_double(s->rand)) * mean;
+}
+
+static bool counted(const struct sim *s, const struct call *c)
+{
+	/* Those at the end have no time to be answered. */
+	return c->born >= WARM_MS && c->born < s->end - s->o.timeout_ms;
+}
+
+static cg_ms overdue_of(const struct sim *s)
+{
+	return s->o.objective_ms;
+}
+
+/* Ends an attempt at its server and for the one that granted it. */
+static void end_attempt(struct sim *s, uint64_t id, enum cgw_result result)
+{
+	struct attempt *a = attempt_of(s, id);
+	struct call *c = call_of(s, a->call);
+	bool failed = result == CGW_RESULT_HUNG || result == CGW_RESULT_SHED;
+	char daemon[16];
+	struct view *v;
+
+	if (a->ended)
+		return;
+	a->ended = true;
+	if (a->taken)
+		s->servers[a->server].inflight--;
+	if (s->o.policy == SIM_BROKER) {
+		g_snprintf(daemon, sizeof(daemon), "d%u", c->daemon);
+		s->messages++;
+		cgw_broker_release(s->domains[a->broker].broker, daemon, id,
+				   result, s->now - a->started, s->now);
+		return;
+	}
+	if (!a->granted)
+		return;
+	v = view_of(s, c->daemon, a->server);
+	v->inflight--;
+	v->failures = failed ? v->failures + 1 : 0;
+	if (s->o.policy == SIM_FIVE && v->failures >= FIVE) {
+		v->failures = 0;
+		v->out_until = s->now + FIVE_OUT_MS;
+	}
+}
+
+static void finish(struct sim *s, struct call *c, bool served, bool refused)
+{
+	cg_ms took = s->now - c->born;
+
+	c->done = true;
+	for (unsigned int i = 0; i < c->attempts; i++)
+		end_attempt(s, c->attempt[i], CGW_RESULT_HUNG);
+	if (!counted(s, c))
+		return;
+	s->out->served += served;
+	s->out->in_time += served && took <= s->o.objective_ms;
+	s->out->refused += refused;
+	if (!served && !refused && !c->safe)
+		s->out->lost++;
+	else if (!served && !refused)
+		s->out->expired++;
+	if (served)
+		s->served[c->account]++;
+	if (served && c->account)
+		g_array_append_val(s->small, took);
+}
+
+static void try_again(struct sim *s, uint64_t call);
+
+/* Sends an attempt to the server it was granted. */
+static void send_attempt(struct sim *s, uint64_t id, unsigned int server,
+			 cg_ms overdue)
+{
+	struct attempt *a = attempt_of(s, id);
+	struct call *c = call_of(s, a->call);
+	struct server *v = &s->servers[server];
+	bool shedding =
+		s->struck && s->o.pattern == SIM_SHEDDING && !v->service;
+	double work =
+		s->o.work_ms * 0.5 + exponential(s, (double)s->o.work_ms * 0.5);
+
+	a->granted = true;
+	a->server = server;
+	a->started = s->now;
+	if (s->o.policy != SIM_BROKER)
+		view_of(s, c->daemon, server)->inflight++;
+	if (shedding || v->inflight >= s->o.slots) {
+		push(s, s->now + 1, EVENT_SHED, id);
+		return;
+	}
+	a->taken = true;
+	v->inflight++;
+	if (s->struck && v->sick && s->o.pattern == SIM_SLOW)
+		work *= SLOW_X;
+	a->hangs = v->hung_since > 0;
+	if (!a->hangs)
+		push(s, s->now + MAX(1, (cg_ms)work), EVENT_ANSWER, id);
+	if (c->safe)
+		push(s, s->now + overdue, EVENT_OVERDUE, id);
+}
+
+static bool reaches(const struct sim *s, unsigned int daemon,
+		    unsigned int domain)
+{
+	bool cut = s->struck && s->o.pattern == SIM_CUT;
+
+	return !cut || domain_of(s, daemon) == domain ||
+	       (domain_of(s, daemon) && domain);
+}
+
+static bool sound_is_free(struct sim *s, const struct call *c)
+{
+	for (unsigned int i = 0; i < s->o.servers; i++) {
+		const struct server *v = &s->servers[i];
+
+		if (v->service == c->service && !v->hung_since &&
+		    v->inflight < s->o.slots &&
+		    !(s->struck && v->sick && s->o.pattern == SIM_SLOW) &&
+		    reaches(s, c->daemon, v->domain))
+			return !(s->struck && s->o.pattern == SIM_SHEDDING &&
+				 !v->service);
+	}
+	return false;
+}
+
+static void refuse(struct sim *s, struct call *c)
+{
+	if (counted(s, c) && sound_is_free(s, c))
+		s->out->wrongful++;
+	finish(s, c, false, true);
+}
+
+/* Whether a server is in the fixed part of a daemon: two of each service. */
+static bool in_part(const struct sim *s, unsigned int daemon,
+		    unsigned int server)
+{
+	unsigned int parts = MAX(1, s->o.servers / s->o.services / 2);
+
+	return s->o.policy != SIM_SPLIT ||
+	       server / s->o.services % parts == daemon % parts;
+}
+
+/* The server that a daemon chooses by its own counts, or -1. */
+static int choose(struct sim *s, const struct call *c)
+{
+	unsigned int best_count = 0;
+	int best = -1;
+
+	for (int near = 1; near >= 0 && best < 0; near--) {
+		int32_t least = G_MAXINT32;
+
+		for (unsigned int i = 0; i < s->o.servers; i++) {
+			const struct server *v = &s->servers[i];
+			const struct view *w = view_of(s, c->daemon, i);
+			bool avoid = false;
+
+			if (v->service != c->service ||
+			    (near && s->o.policy != SIM_SPLIT &&
+			     v->domain != domain_of(s, c->daemon)) ||
+			    !reaches(s, c->daemon, v->domain) ||
+			    w->out_until > s->now || w->inflight >= s->o.slots)
+				continue;
+			if (!in_part(s, c->daemon, i))
+				continue;
+			for (unsigned int k = 0; k + 1 < c->attempts; k++)
+				avoid |= attempt_of(s, c->attempt[k])->server ==
+					 i;
+			if (avoid || w->inflight > least)
+				continue;
+			if (w->inflight < least)
+				best_count = 0;
+			least = w->inflight;
+			/* Any of the least loaded with the same chance. */
+			if (!g_rand_int_range(s->rand, 0, (int)++best_count))
+				best = (int)i;
+		}
+	}
+	return best;
+}
+
+static void ask_broker(struct sim *s, unsigned int domain, uint64_t id)
+{
+	struct attempt *a = attempt_of(s, id);
+	const struct call *c = call_of(s, a->call);
+	struct cgw_ask q = {
+		.id = id,
+		.safe = c->safe,
+		.repeat = c->attempts > 1,
+		.charged = a->foreign || a->stay,
+		.foreign = a->foreign,
+		.stay = a->stay,
+		.objective_ms = s->o.objective_ms,
+		.due = c->born + s->o.timeout_ms,
+	};
+
+	a->broker = domain;
+	g_snprintf(q.daemon, sizeof(q.daemon), "d%u", c->daemon);
+	g_snprintf(q.service, sizeof(q.service), "s%u", c->service);
+	g_snprintf(q.route, sizeof(q.route), "r%u", c->service);
+	g_snprintf(q.account, sizeof(q.account), "a%u", c->account);
+	for (unsigned int k = 0; k + 1 < c->attempts; k++) {
+		const struct attempt *p = attempt_of(s, c->attempt[k]);
+
+		if (p->granted)
+			g_strlcpy(q.avoid[q.avoid_count++],
+				  s->servers[p->server].id, sizeof(q.avoid[0]));
+	}
+	s->messages += 2; /* The ask and its verdict. */
+	cgw_broker_ask(s->domains[domain].broker, &q, s->now);
+}
+
+static void try_again(struct sim *s, uint64_t call)
+{
+	struct call *c = call_of(s, call);
+	struct attempt a = { .call = call };
+	uint64_t id = s->attempts->len;
+	int server;
+
+	if (c->done)
+		return;
+	if (c->attempts >= ATTEMPTS) {
+		refuse(s, c);
+		return;
+	}
+	s->out->repeats += c->attempts && counted(s, c);
+	g_array_append_val(s->attempts, a);
+	c->attempt[c->attempts++] = id;
+	if (s->o.policy == SIM_BROKER) {
+		ask_broker(s, domain_of(s, c->daemon), id);
+		return;
+	}
+	server = choose(s, c);
+	if (server >= 0) {
+		send_attempt(s, id, (unsigned int)server, overdue_of(s));
+		return;
+	}
+	attempt_of(s, id)->ended = true;
+	if (c->attempts == 1)
+		refuse(s, c);
+}
+
+static void on_refusal(struct sim *s, uint64_t id)
+{
+	struct attempt *a = attempt_of(s, id);
+	struct call *c = call_of(s, a->call);
+	bool others = false;
+
+	if (a->foreign) {
+		a->foreign = false;
+		a->stay = true;
+		ask_broker(s, domain_of(s, c->daemon), id);
+		return;
+	}
+	a->ended = true;
+	/* An earlier attempt may still be answered. */
+	for (unsigned int k = 0; k < c->attempts; k++)
+		others |= !attempt_of(s, c->attempt[k])->ended;
+	if (!others)
+		refuse(s, c);
+}
+
+static void on_verdict(void *arg, const struct cgw_verdict *v)
+{
+	struct domain *d = arg;
+	struct sim *s = d->sim;
+	struct attempt *a = attempt_of(s, v->id);
+	struct call *c = call_of(s, a->call);
+	unsigned int other = 0;
+
+	if (a->ended || c->done)
+		return;
+	switch (v->kind) {
+	case CGW_GRANTED:
+		send_attempt(s, v->id,
+			     (unsigned int)g_ascii_strtoull(
+				     v->u.grant.server + 1, NULL, 10),
+			     v->u.grant.overdue_ms);
+		return;
+	case CGW_REFUSED:
+		on_refusal(s, v->id);
+		return;
+	case CGW_ELSEWHERE:
+		while (strcmp(s->domains[other].name, v->u.domain) != 0)
+			other++;
+		a->foreign = true;
+		if (reaches(s, c->daemon, other))
+			ask_broker(s, other, v->id);
+		else
+			on_refusal(s, v->id);
+		return;
+	}
+}
+
+static double load_now(struct sim *s)
+{
+	double x = s->o.load;
+
+	if (s->struck && s->o.pattern == SIM_BURST && s->burst)
+		x *= BURST_X;
+	if (s->struck && s->o.pattern == SIM_HOT_ACCOUNT)
+		x *= 1 + (HOT_X - 1.0) / s->o.accounts;
+	return x;
+}
+
+static unsigned int draw_account(struct sim *s)
+{
+	double extra = HOT_X - 1;
+
+	if (s->struck && s->o.pattern == SIM_HOT_ACCOUNT &&
+	    g_rand_double(s->rand) < extra / (s->o.accounts + extra))
+		return 0;
+	return (unsigned int)g_rand_int_range(s->rand, 0, (int)s->o.accounts);
+}
+
+static void arrive(struct sim *s)
+{
+	struct call c = {
+		.daemon = (unsigned int)g_rand_int_range(s->rand, 0,
+							 (int)s->o.daemons),
+		.account = draw_account(s),
+		.service = (unsigned int)g_rand_int_range(s->rand, 0,
+							  (int)s->o.services),
+		.safe = g_rand_double(s->rand) < s->o.safe_part,
+		.born = s->now,
+	};
+	uint64_t id = s->calls->len;
+
+	g_array_append_val(s->calls, c);
+	if (counted(s, &c)) {
+		s->out->requests++;
+		s->asked[c.account]++;
+	}
+	push(s, s->now + s->o.timeout_ms, EVENT_TIMEOUT, id);
+	try_again(s, id);
+}
+
+/* Arrivals of one millisecond. */
+static void arrivals(struct sim *s)
+{
+	double rate = load_now(s) * s->o.servers * (double)s->o.slots /
+		      (double)s->o.work_ms;
+	double left = exponential(s, 1);
+
+	while (left < rate) {
+		arrive(s);
+		left += exponential(s, 1);
+	}
+	push(s, s->now + 1, EVENT_ARRIVAL, 0);
+}
+
+static bool is_out(struct sim *s, unsigned int daemon, const struct server *v)
+{
+	if (s->o.policy != SIM_BROKER)
+		return view_of(s, daemon, v->index)->out_until > s->now;
+	return cgw_broker_trust(s->domains[v->domain].broker, v->id, s->now) ==
+	       CGW_TRUST_EJECTED;
+}
+
+/* Daemons that leave the server out now. */
+static unsigned int out_at(struct sim *s, const struct server *v)
+{
+	unsigned int n = 0;
+
+	if (s->o.policy == SIM_BROKER)
+		return is_out(s, 0, v) ? s->o.daemons : 0;
+	for (unsigned int d = 0; d < s->o.daemons; d++)
+		n += is_out(s, d, v);
+	return n;
+}
+
+static void end_spell(struct sim *s, struct server *v)
+{
+	if (!v->found)
+		s->detect_sum += (double)(s->now - v->hung_since);
+	v->hung_since = 0;
+}
+
+static void begin_spell(struct sim *s, struct server *v)
+{
+	v->hung_since = s->now;
+	v->found = false;
+	s->out->spells++;
+}
+
+/* Which servers hang: a third of the sick ones at a time. */
+static void change_spells(struct sim *s)
+{
+	cg_ms length = s->o.pattern == SIM_FLAPPING ? FLAP_MS : SPELL_MS;
+	cg_ms t = s->now - WARM_MS;
+
+	for (unsigned int i = 0; i < s->o.servers; i++) {
+		struct server *v = &s->servers[i];
+		bool hangs = ((t + (cg_ms)(i % 3) * length / 3) / length) % 2;
+
+		if (!v->sick)
+			continue;
+		if (hangs && !v->hung_since)
+			begin_spell(s, v);
+		else if (!hangs && v->hung_since)
+			end_spell(s, v);
+	}
+}
+
+static void sample(struct sim *s)
+{
+	s->struck = s->now >= WARM_MS;
+	s->burst = s->now / 1000 % 5 == 0;
+	if (s->struck &&
+	    (s->o.pattern == SIM_HANGING || s->o.pattern == SIM_FLAPPING))
+		change_spells(s);
+	for (unsigned int i = 0; s->struck && i < s->o.servers; i++) {
+		struct server *v = &s->servers[i];
+		bool slow = v->sick && s->o.pattern == SIM_SLOW;
+		unsigned int out = out_at(s, v);
+
+		if (v->hung_since && !v->found && out * 2 >= s->o.daemons) {
+			v->found = true;
+			s->out->found++;
+			s->detect_sum += (double)(s->now - v->hung_since);
+		}
+		if (v->hung_since || slow)
+			continue;
+		s->samples += s->o.daemons;
+		s->false_samples += out;
+	}
+	push(s, s->now + SAMPLE_MS, EVENT_SAMPLE, 0);
+}
+
+struct teller {
+	struct sim *sim;
+	const struct domain *from;
+};
+
+static void tell(void *arg, const struct cgw_service_state *state)
+{
+	const struct teller *t = arg;
+	struct sim *s = t->sim;
+
+	for (unsigned int i = 0; i < s->o.domains; i++)
+		if (i != t->from->index && reaches(s, t->from->index, i))
+			cgw_broker_note_state(s->domains[i].broker,
+					      t->from->name, state, s->now);
+}
+
+static void beat(struct sim *s)
+{
+	for (unsigned int i = 0; i < s->o.domains; i++) {
+		struct teller t = { s, &s->domains[i] };
+
+		s->messages += s->o.domains - 1;
+		cgw_broker_each_service(s->domains[i].broker, s->now, tell, &t);
+	}
+	push(s, s->now + BEAT_MS, EVENT_BEAT, 0);
+}
+
+static void answer(struct sim *s, uint64_t id)
+{
+	struct attempt *a = attempt_of(s, id);
+	struct call *c = call_of(s, a->call);
+
+	if (a->ended)
+		return;
+	end_attempt(s, id, CGW_RESULT_SERVED);
+	if (!c->done)
+		finish(s, c, true, false);
+}
+
+static void shed(struct sim *s, uint64_t id)
+{
+	uint64_t call = attempt_of(s, id)->call;
+
+	if (attempt_of(s, id)->ended)
+		return;
+	end_attempt(s, id, CGW_RESULT_SHED);
+	try_again(s, call);
+}
+
+static void step(struct sim *s, const struct event *e)
+{
+	switch (e->kind) {
+	case EVENT_ARRIVAL:
+		arrivals(s);
+		return;
+	case EVENT_ANSWER:
+		answer(s, e->id);
+		return;
+	case EVENT_SHED:
+		shed(s, e->id);
+		return;
+	case EVENT_OVERDUE:
+		if (!attempt_of(s, e->id)->ended &&
+		    call_of(s, attempt_of(s, e->id)->call)->attempts < ATTEMPTS)
+			try_again(s, attempt_of(s, e->id)->call);
+		return;
+	case EVENT_TIMEOUT:
+		if (!call_of(s, e->id)->done)
+			finish(s, call_of(s, e->id), false, false);
+		return;
+	case EVENT_TICK:
+		for (unsigned int i = 0; i < s->o.domains; i++)
+			cgw_broker_tick(s->domains[i].broker, s->now);
+		push(s, s->now + TICK_MS, EVENT_TICK, 0);
+		return;
+	case EVENT_BEAT:
+		beat(s);
+		return;
+	case EVENT_SAMPLE:
+		sample(s);
+		return;
+	}
+}
+
+static void add_servers(struct sim *s)
+{
+	s->servers = g_new0(struct server, s->o.servers);
+	for (unsigned int i = 0; i < s->o.servers; i++) {
+		struct server *v = &s->servers[i];
+
+		v->index = i;
+		v->service = i % s->o.services;
+		v->domain = i / s->o.services % s->o.domains;
+		/* Two thirds of the first domain's servers are elsewhere. */
+		if (s->o.pattern == SIM_SHORTAGE && !v->domain &&
+		    i / s->o.services / s->o.domains % 3)
+			v->domain = 1;
+		v->sick = i / s->o.services % 10 < SICK_IN_TEN;
+		g_snprintf(v->id, sizeof(v->id), "v%u", i);
+		g_snprintf(v->address, sizeof(v->address), "10.0.%u.%u:80",
+			   i / 250, i % 250 + 1);
+	}
+}
+
+static void add_brokers(struct sim *s)
+{
+	struct cgw_server_facts *f =
+		g_new0(struct cgw_server_facts, s->o.servers);
+	struct cgw_table *t = cgw_table_new(1);
+	char name[16];
+
+	for (unsigned int i = 0; i < s->o.servers; i++) {
+		const struct server *v = &s->servers[i];
+
+		g_strlcpy(f[i].id, v->id, sizeof(f[i].id));
+		g_snprintf(f[i].service, sizeof(f[i].service), "s%u",
+			   v->service);
+		g_strlcpy(f[i].address, v->address, sizeof(f[i].address));
+		g_snprintf(f[i].domain, sizeof(f[i].domain), "z%u", v->domain);
+		f[i].slots = s->o.slots;
+	}
+	for (unsigned int i = 0; i < s->o.accounts; i++) {
+		g_snprintf(name, sizeof(name), "a%u", i);
+		cgw_table_add_account(t, name);
+	}
+	s->domains = g_new0(struct domain, s->o.domains);
+	for (unsigned int i = 0; i < s->o.domains; i++) {
+		struct domain *d = &s->domains[i];
+		struct cgw_broker_settings set = {
+			.domain = d->name,
+			.domains = s->o.domains,
+			.retry_ratio = 0.2,
+			.retry_slack = 60,
+			.retry_window_ms = 10000,
+			.min_share = 0.7,
+		};
+
+		d->sim = s;
+		d->index = i;
+		g_snprintf(d->name, sizeof(d->name), "z%u", i);
+		d->broker = cgw_broker_new(&set, on_verdict, d);
+		cgw_quota_configure(cgw_broker_quota(d->broker), t, 0);
+		cgw_broker_set_servers(d->broker, f, s->o.servers, 0);
+	}
+	cgw_table_unref(t);
+	g_free(f);
+}
+
+static int by_ms(const void *a, const void *b)
+{
+	cg_ms x = *(const cg_ms *)a, y = *(const cg_ms *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+static void sum_up(struct sim *s)
+{
+	struct sim_result *r = s->out;
+
+	r->worst_account = 1;
+	for (unsigned int i = 0; i < s->o.accounts; i++)
+		if (s->asked[i])
+			r->worst_account =
+				MIN(r->worst_account,
+				    (double)s->served[i] / (double)s->asked[i]);
+	g_array_sort(s->small, by_ms);
+	if (s->small->len)
+		r->small_p99_ms = (double)g_array_index(
+			s->small, cg_ms, (guint)(s->small->len * 0.99));
+	for (unsigned int i = 0; i < s->o.servers; i++)
+		if (s->servers[i].hung_since)
+			end_spell(s, &s->servers[i]);
+	if (r->spells)
+		r->detect_ms = s->detect_sum / r->spells;
+	if (s->samples)
+		r->false_out = (double)s->false_samples / (double)s->samples;
+	r->messages_per_s =
+		(double)s->messages * 1000.0 / (double)s->end / s->o.daemons;
+}
+
+int sim_run(const struct sim_options *o, struct sim_result *out)
+{
+	struct sim s = { .o = *o, .out = out };
+
+	memset(out, 0, sizeof(*out));
+	if (!o->daemons || !o->domains || !o->services || !o->accounts ||
+	    o->servers < o->services || o->slots < 1 || o->work_ms < 1 ||
+	    o->daemons < o->domains || o->load <= 0)
+		return -1;
+	/* The broker spreads what it advises with this generator. */
+	g_random_set_seed((guint32)o->seed);
+	s.rand = g_rand_new_with_seed((guint32)o->seed);
+	s.end = WARM_MS + o->length_ms;
+	s.heap = g_array_new(FALSE, FALSE, sizeof(struct event));
+	s.attempts = g_array_new(FALSE, TRUE, sizeof(struct attempt));
+	s.calls = g_array_new(FALSE, TRUE, sizeof(struct call));
+	s.small = g_array_new(FALSE, FALSE, sizeof(cg_ms));
+	s.asked = g_new0(uint64_t, o->accounts);
+	s.served = g_new0(uint64_t, o->accounts);
+	add_servers(&s);
+	add_brokers(&s);
+	if (o->policy != SIM_BROKER)
+		s.views = g_new0(struct view, (size_t)o->daemons * o->servers);
+	push(&s, 0, EVENT_SAMPLE, 0);
+	push(&s, 1, EVENT_ARRIVAL, 0);
+	if (o->policy == SIM_BROKER) {
+		push(&s, 0, EVENT_BEAT, 0);
+		push(&s, TICK_MS, EVENT_TICK, 0);
+	}
+	for (;;) {
+		struct event e = pop(&s);
+
+		if (e.at >= s.end)
+			break;
+		s.now = e.at;
+		step(&s, &e);
+	}
+	sum_up(&s);
+	for (unsigned int i = 0; i < o->domains; i++)
+		cgw_broker_free(s.domains[i].broker);
+	g_free(s.domains);
+	g_free(s.servers);
+	g_free(s.views);
+	g_free(s.asked);
+	g_free(s.served);
+	g_array_unref(s.heap);
+	g_array_unref(s.attempts);
+	g_array_unref(s.calls);
+	g_array_unref(s.small);
+	g_rand_free(s.rand);
+	return 0;
+}
