Send unsafe requests to returned servers after one second

That service has few safe requests (356 of 19,500), and unsafe ones stayed away for RETURN_MS = 4 s after the 1.8 s of the ejection.

Ruled out: ejections above the floor (13 of 33 in a domain at most, 33 of 110 allowed); connections or slots (the servers had no request in flight).

Change: RETURN_MS 1000. Unused cgw_fleet_size and caller_due are gone; the comment at TAKEOVER_MILLI states its margin (one request) instead of more.

--- a/include/gateway/exchange.h
+++ b/include/gateway/exchange.h
@@ -59,7 +59,6 @@
 	const char *service;
 	cg_ms arrived;
 	cg_ms due; /**< End of the caller's or of the route's time. */
-	cg_ms caller_due;
 	cg_ms proof_age;
 	cg_ms waited; /**< For slots, over all attempts. */
 	struct cgw_timer deadline;
--- a/include/gateway/fleet.h
+++ b/include/gateway/fleet.h
@@ -61,6 +61,5 @@
 bool cgw_fleet_settled(struct cgw_fleet *f);
 /** Name of the daemon that is followed; static until the next call. */
 const char *cgw_fleet_leader(struct cgw_fleet *f);
-size_t cgw_fleet_size(struct cgw_fleet *f);
 
 #endif
--- a/src/gateway/broker.c
+++ b/src/gateway/broker.c
@@ -18,9 +18,10 @@
 /* Bounds of what a refused caller is told to wait. */
 #define RETRY_AFTER_MIN_MS 300
 #define RETRY_AFTER_MAX_MS 2000
-/* A server back from an ejection is treated as others after this long, so that
- * an unsafe request tries it when most gray spells are over. */
-#define RETURN_MS 4000
+/* A server back from an ejection is treated as others after this long, also for
+ * unsafe requests: with the ejection's 1.8 s below the 4 s by which it must get
+ * one, see the floor. 2,000 and 4,000 ms scored the same within noise. */
+#define RETURN_MS 1000
 /* Share of its slots that a server's oldest request counts for, when it has
  * taken twice the usual time. */
 #define AGE_WEIGHT 0.6
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -560,9 +560,9 @@
 		refuse(x, CG_REASON_ROUTE_UNKNOWN, 0);
 		return FILTER_SETTLED;
 	}
-	x->caller_due = x->arrived +
-			(x->caller_ms ? x->caller_ms : x->route->timeout_ms);
-	x->due = MIN(x->caller_due, x->arrived + x->route->timeout_ms);
+	x->due = x->arrived + x->route->timeout_ms;
+	if (x->caller_ms)
+		x->due = MIN(x->due, x->arrived + x->caller_ms);
 	return FILTER_GO_ON;
 }
 
--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -152,8 +152,3 @@
 {
 	return f->leader;
 }
-
-size_t cgw_fleet_size(struct cgw_fleet *f)
-{
-	return g_hash_table_size(f->members) + 1;
-}
--- a/src/gateway/quota.c
+++ b/src/gateway/quota.c
@@ -21,8 +21,9 @@
  * of one admits nothing. */
 #define ROUNDING_MILLI (1 * CG_RATE_ONE)
 /* Tokens of a broker that has just taken over. It does not know what its
- * predecessor has admitted; three domains that all begin anew twice in a window
- * then stay within the 20 requests that are tolerated beyond a tenth. */
+ * predecessor has admitted. Three domains that all begin anew twice in a window
+ * use all but one of the 20 requests that are tolerated beyond a tenth, see
+ * whole_fleet_killed_stays_below_the_limit: a third time would exceed them. */
 #define TAKEOVER_MILLI (4 * CG_RATE_ONE)
 /* Time after which a broker that took over holds what its accounts are due: a
  * burst of one second's requests fills in it. */
