Refuse what still waits before a stopping gateway ends

Change: while a daemon stops, a request may wait for a slot only until 400 ms before the cut (0.93 of the grace time); the broker then refuses it as not run. What runs at a server is left alone.

Test: stop_refuses_what_waits (no answer without the change, 503 with it).

Conclusion: what the stop could not serve is refused in time. A request granted late to a server that hangs is still cut at the end of the grace time.

--- a/include/gateway/gateway.h
+++ b/include/gateway/gateway.h
@@ -30,6 +30,10 @@
 int cgw_gateway_main(const char *settings_path,
 		     const struct cgw_store_form *form);
 
+/** Until when a request that ends at @p due may wait for a slot: a daemon that
+ * stops refuses in time what it could not answer any more. */
+cg_ms cgw_gateway_wait_due(const struct cgw_gateway *g, cg_ms due);
+
 /** Why this daemon is not ready, or NULL. The string is static. */
 const char *cgw_gateway_unready(struct cgw_gateway *g);
 
--- a/replay/broker_sim.c
+++ b/replay/broker_sim.c
@@ -52,7 +52,7 @@
 	unsigned int server;
 	cg_ms started;
 	unsigned int broker; /* Domain of the broker that granted it. */
-	bool granted, hangs, ended;
+	bool granted, ended;
 	bool taken; /* A slot of the server. */
 	bool foreign, stay;
 };
@@ -295,8 +295,7 @@
 	v->inflight++;
 	if (s->struck && v->sick && s->o.pattern == SIM_SLOW)
 		work *= SLOW_X;
-	a->hangs = v->hung_since > 0;
-	if (!a->hangs)
+	if (!v->hung_since)
 		push(s, s->now + MAX(1, (cg_ms)work), EVENT_ANSWER, id);
 	if (c->safe)
 		push(s, s->now + overdue, EVENT_OVERDUE, id);
--- a/src/gateway/broker_trust.c
+++ b/src/gateway/broker_trust.c
@@ -72,7 +72,7 @@
 /* How many of @p servers may be ejected at once. */
 static int64_t may_eject(const struct cgw_broker *b, int64_t servers)
 {
-	/* 0.3 of ten servers are three, though 1 - 0.7 is a little less. */
+	/* 1 - 0.9 of ten servers is one, though the product is a little less. */
 	return (int64_t)floor((1 - b->settings.min_share) * (double)servers +
 			      1e-9);
 }
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -502,7 +502,7 @@
 	q->priority =
 		acc && acc->priority >= 0 ? acc->priority : x->route->priority;
 	q->objective_ms = x->route->objective_ms;
-	q->due = x->due;
+	q->due = cgw_gateway_wait_due(x->gateway, x->due);
 	for (unsigned int i = 0;
 	     i < x->attempt_count && q->avoid_count < CGW_AVOID_MAX; i++)
 		g_strlcpy(q->avoid[q->avoid_count++],
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -16,8 +16,11 @@
 /* Longest wait of the loop without any timer. */
 #define STEP_MS 1000
 /* Part of the grace time after which what still runs is cut. */
-#define GRACE_PART   0.93
-#define STOP_POLL_MS 50
+#define GRACE_PART 0.93
+/* Before that, for the broker's step of 50 ms, 200 ms without word from it, and
+ * the way of the refusal. */
+#define REFUSE_BEFORE_MS 400
+#define STOP_POLL_MS	 50
 
 static volatile sig_atomic_t stop_wanted;
 static volatile sig_atomic_t reload_wanted;
@@ -119,6 +122,16 @@
 	cgw_loop_free(g->loop);
 }
 
+static cg_ms cut_at(const struct cgw_gateway *g)
+{
+	return g->stop_at + (cg_ms)(GRACE_PART * (double)g->settings.grace_ms);
+}
+
+cg_ms cgw_gateway_wait_due(const struct cgw_gateway *g, cg_ms due)
+{
+	return g->stopping ? MIN(due, cut_at(g) - REFUSE_BEFORE_MS) : due;
+}
+
 /* Returns whether the process may end now. */
 static bool drain(struct cgw_gateway *g, bool *quiet)
 {
@@ -133,7 +146,7 @@
 	cgw_ingress_close_idle(g->ingress);
 	if (!g->running)
 		return true;
-	if (since < (cg_ms)(GRACE_PART * (double)g->settings.grace_ms))
+	if (cgw_loop_now(g->loop) < cut_at(g))
 		return false;
 	cg_warning("stops with %u requests running", g->running);
 	return true;
--- a/tests/test_system_gateway.c
+++ b/tests/test_system_gateway.c
@@ -597,6 +597,63 @@
 	gf_stop(&f);
 }
 
+static gpointer long_call(gpointer arg)
+{
+	struct background *b = arg;
+	struct gf_request r = { .daemon = 0,
+				.method = "POST",
+				.path = "/long/x",
+				.key = "k1",
+				.id = "holds-a-slot" };
+
+	b->answer = gf_call(b->fleet, &r);
+	return NULL;
+}
+
+/* A request that comes after SIGTERM and finds no slot is refused before the
+ * process ends, however much time its route allows. Regression: it waited until
+ * the process cut it (hunt-add1-27 of meoluoi-gw). */
+static void stop_refuses_what_waits(void **state)
+{
+	static const char route[] =
+		",{\"name\":\"long\",\"kind\":\"unsafe\",\"slo_ms\":1000,"
+		"\"priority\":1,\"public\":false,"
+		"\"match\":{\"path_prefix\":\"/long/\"},\"action\":"
+		"{\"service\":\"svc\",\"timeout_ms\":9000,\"attempts\":1}}";
+	struct gateway_fleet f;
+	struct background b[3 * GF_SERVERS];
+	GThread *t[3 * GF_SERVERS];
+	struct gf_request r = { .daemon = 1,
+				.method = "POST",
+				.path = "/long/x",
+				.key = "k1",
+				.id = "during-stop" };
+	struct gf_answer a;
+	int status;
+
+	(void)state;
+	gf_start(&f, 4);
+	gf_config(&f, true, 0, 0, route);
+	gf_wait_ready(&f);
+	for (int i = 0; i < GF_SERVERS; i++)
+		f.servers[i].delay_ms = 8000;
+	for (int i = 0; i < 3 * GF_SERVERS; i++) {
+		b[i] = (struct background){ .fleet = &f };
+		t[i] = g_thread_new("long", long_call, &b[i]);
+	}
+	sleep_ms(300);
+	kill(f.pids[1], SIGTERM);
+	sleep_ms(300);
+	a = gf_call(&f, &r);
+	assert_int_equal(a.status, 503);
+	assert_int_equal(waitpid(f.pids[1], &status, 0), f.pids[1]);
+	f.pids[1] = 0;
+	assert_true(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+	for (int i = 0; i < 3 * GF_SERVERS; i++)
+		g_thread_join(t[i]);
+	gf_stop(&f);
+}
+
 /* All daemons killed at once: the store is all that is left. */
 static void whole_fleet_returns(void **state)
 {
@@ -671,6 +728,7 @@
 		cmocka_unit_test(pipelined_request_has_its_own_time),
 		cmocka_unit_test(two_lengths_are_refused),
 		cmocka_unit_test(stop_answers_what_was_read),
+		cmocka_unit_test(stop_refuses_what_waits),
 		cmocka_unit_test(whole_fleet_returns),
 		cmocka_unit_test(other_domain_helps_out),
 	};
