Use one parser of addresses and one plain-text response

Cause: reading the whole change again. The plain-text response of ingress.c was that of admin.c.

Change: cg_parse_address and cg_format_address move to src/base/address.c, the response to src/base/http_text.c, and all call them.

--- a/Makefile
+++ b/Makefile
@@ -41,7 +41,7 @@
 
 # What the gateway uses of the rest: small enough to keep the memory of one
 # process, which is paid for on each machine, free of unused libraries.
-GATEWAY_BASE := src/base/clock.c src/base/counters.c src/base/jsonc.c src/base/logging.c src/base/outcome.c \
+GATEWAY_BASE := src/base/address.c src/base/clock.c src/base/counters.c src/base/http_text.c src/base/jsonc.c src/base/logging.c src/base/outcome.c \
 	src/control/rate_bucket.c src/base/names.c src/rpc/gen/fleet_wire_xdr.c
 GATEWAY_LIBS := $(shell pkg-config --libs libmicrohttpd libtirpc glib-2.0 json-c libxxhash 2>/dev/null) -lhttp_parser -lm
 
--- a/include/internal/settings.h
+++ b/include/internal/settings.h
@@ -11,6 +11,7 @@
 
 #include "celeryglade/clock.h"
 #include "celeryglade/config.h"
+#include "internal/address.h"
 #include "internal/jsonc.h"
 
 #define CG_MAX_SEEDS 16
@@ -60,10 +61,4 @@
 /** Frees what the settings own. */
 void cg_settings_clear(struct cg_settings *s);
 
-/** Parses "IP:PORT" (IPv4). Returns 0 or -1. */
-int cg_parse_address(const char *text, struct sockaddr_in *out);
-
-/** Writes "IP:PORT" into @p out. */
-void cg_format_address(const struct sockaddr_in *a, char *out, size_t size);
-
 #endif
--- a/src/gateway/ingress.c
+++ b/src/gateway/ingress.c
@@ -11,6 +11,8 @@
 
 #include "celeryglade/counters.h"
 #include "gateway/decision_log.h"
+#include "internal/address.h"
+#include "internal/http_text.h"
 #include "internal/logging.h"
 
 /* Above the 16 KB of headers that operators allow, with room for the parser. */
@@ -405,21 +407,6 @@
 
 /* ---- readiness and metrics ---- */
 
-static enum MHD_Result send_text(struct MHD_Connection *mhd,
-				 unsigned int status, const char *text)
-{
-	struct MHD_Response *m = MHD_create_response_from_buffer(
-		strlen(text), (void *)text, MHD_RESPMEM_MUST_COPY);
-	enum MHD_Result rc;
-
-	if (!m)
-		return MHD_NO;
-	MHD_add_response_header(m, "Content-Type", "text/plain");
-	rc = MHD_queue_response(mhd, status, m);
-	MHD_destroy_response(m);
-	return rc;
-}
-
 static enum MHD_Result handle_ready(void *cls, struct MHD_Connection *mhd,
 				    const char *url, const char *method,
 				    const char *version, const char *data,
@@ -434,7 +421,7 @@
 	(void)data;
 	(void)data_size;
 	(void)state;
-	return send_text(mhd, why ? 503 : 200, why ? why : "ready");
+	return cg_http_text(mhd, why ? 503 : 200, why ? why : "ready");
 }
 
 static void add_metric(GString *s, const char *name, uint64_t value)
@@ -471,28 +458,13 @@
 		   cgw_broker_ejections(cgw_fleet_broker(g->fleet)));
 	add_metric(s, "log_lines_dropped", cgw_log_dropped());
 	add_metric(s, "requests_running", g->running);
-	rc = send_text(mhd, 200, s->str);
+	rc = cg_http_text(mhd, 200, s->str);
 	g_string_free(s, TRUE);
 	return rc;
 }
 
 /* ---- set-up ---- */
 
-static int parse_listen(const char *text, struct sockaddr_in *sa)
-{
-	const char *colon = strrchr(text, ':');
-	char *host = g_strndup(text, colon ? (gsize)(colon - text) : 0);
-	int rc;
-
-	memset(sa, 0, sizeof(*sa));
-	sa->sin_family = AF_INET;
-	sa->sin_port =
-		htons((uint16_t)(colon ? strtoul(colon + 1, NULL, 10) : 0));
-	rc = inet_pton(AF_INET, host, &sa->sin_addr) == 1 ? 0 : -1;
-	g_free(host);
-	return rc;
-}
-
 static void log_mhd(void *cls, const char *fmt, va_list ap)
 	__attribute__((format(printf, 2, 0)));
 static void log_mhd(void *cls, const char *fmt, va_list ap)
@@ -522,7 +494,7 @@
 {
 	struct sockaddr_in sa;
 
-	if (parse_listen(address, &sa))
+	if (cg_parse_address(address, &sa))
 		return -1;
 	in->callers.daemon = MHD_start_daemon(
 		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG, 0,
@@ -579,7 +551,7 @@
 		cg_error("cannot listen for callers on %s", g->settings.listen);
 		goto fail;
 	}
-	if (parse_listen(g->settings.ready, &sa) ||
+	if (cg_parse_address(g->settings.ready, &sa) ||
 	    start_plain(in, &in->ready, &sa, handle_ready)) {
 		cg_error("cannot listen for readiness checks on %s",
 			 g->settings.ready);
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -11,6 +11,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "internal/address.h"
 #include "internal/logging.h"
 
 /* Kept connections of one address; a daemon rarely has more calls there. */
@@ -488,28 +489,13 @@
 		finish(call, CGW_CALL_TIMED_OUT, false);
 }
 
-static int parse_address(const char *text, struct sockaddr_in *sa)
-{
-	const char *colon = strrchr(text, ':');
-	char host[64];
-
-	memset(sa, 0, sizeof(*sa));
-	if (!colon || (size_t)(colon - text) >= sizeof(host))
-		return -1;
-	memcpy(host, text, (size_t)(colon - text));
-	host[colon - text] = '\0';
-	sa->sin_family = AF_INET;
-	sa->sin_port = htons((uint16_t)strtoul(colon + 1, NULL, 10));
-	return inet_pton(AF_INET, host, &sa->sin_addr) == 1 ? 0 : -1;
-}
-
 static int open_socket(struct cgw_conn *c)
 {
 	int one = 1;
 	unsigned int user = TCP_TIMEOUT_MS;
 	struct sockaddr_in sa;
 
-	if (parse_address(c->address, &sa))
+	if (cg_parse_address(c->address, &sa))
 		return -1;
 	c->io.fd =
 		socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
--- a/src/node/admin.c
+++ b/src/node/admin.c
@@ -5,27 +5,13 @@
 #include <string.h>
 
 #include "celeryglade/counters.h"
+#include "internal/http_text.h"
 
 struct cg_admin {
 	struct MHD_Daemon *daemon;
 	struct cg_node *node;
 };
 
-static enum MHD_Result reply(struct MHD_Connection *conn, unsigned int status,
-			     const char *text)
-{
-	struct MHD_Response *m = MHD_create_response_from_buffer(
-		strlen(text), (void *)text, MHD_RESPMEM_MUST_COPY);
-	enum MHD_Result rc;
-
-	if (!m)
-		return MHD_NO;
-	MHD_add_response_header(m, "Content-Type", "text/plain");
-	rc = MHD_queue_response(conn, status, m);
-	MHD_destroy_response(m);
-	return rc;
-}
-
 static enum MHD_Result reply_metrics(struct MHD_Connection *conn)
 {
 	GString *s = g_string_new(NULL);
@@ -35,7 +21,7 @@
 		g_string_append_printf(s, "%s %" G_GUINT64_FORMAT "\n",
 				       cg_counter_name((enum cg_counter)c),
 				       cg_counter_read((enum cg_counter)c));
-	rc = reply(conn, MHD_HTTP_OK, s->str);
+	rc = cg_http_text(conn, MHD_HTTP_OK, s->str);
 	g_string_free(s, TRUE);
 	return rc;
 }
@@ -46,9 +32,9 @@
 	char text[128];
 
 	if (!unready)
-		return reply(conn, MHD_HTTP_OK, "ready\n");
+		return cg_http_text(conn, MHD_HTTP_OK, "ready\n");
 	g_snprintf(text, sizeof(text), "not ready: %s\n", unready);
-	return reply(conn, MHD_HTTP_SERVICE_UNAVAILABLE, text);
+	return cg_http_text(conn, MHD_HTTP_SERVICE_UNAVAILABLE, text);
 }
 
 static enum MHD_Result handle(void *cls, struct MHD_Connection *conn,
@@ -63,13 +49,14 @@
 	(void)state;
 	*data_size = 0;
 	if (strcmp(method, "GET") != 0)
-		return reply(conn, MHD_HTTP_METHOD_NOT_ALLOWED, "GET only\n");
+		return cg_http_text(conn, MHD_HTTP_METHOD_NOT_ALLOWED,
+				    "GET only\n");
 	if (!strcmp(url, "/-/live"))
-		return reply(conn, MHD_HTTP_OK, "live\n");
+		return cg_http_text(conn, MHD_HTTP_OK, "live\n");
 	if (!strcmp(url, "/-/metrics"))
 		return reply_metrics(conn);
 	if (strcmp(url, "/-/ready") != 0)
-		return reply(conn, MHD_HTTP_NOT_FOUND, "not found\n");
+		return cg_http_text(conn, MHD_HTTP_NOT_FOUND, "not found\n");
 	return reply_ready(conn, cg_node_unready_reason(a->node));
 }
 
--- a/tests/test_gateway_broker.c
+++ b/tests/test_gateway_broker.c
@@ -18,9 +18,7 @@
 
 	(void)state;
 	world_init(&w, 1);
-	world_add_server(&w, "s1", "svc", 3);
-	world_add_server(&w, "s2", "svc", 3);
-	world_add_server(&w, "s3", "svc", 3);
+	world_add_servers(&w, "svc", 3, 3);
 	for (int i = 0; i < 9; i++) {
 		struct cgw_ask a = world_ask(&w, "svc", true);
 		const struct cgw_verdict *v = world_put(&w, &a);
@@ -43,12 +41,7 @@
 
 	(void)state;
 	world_init(&w, 1);
-	for (int i = 1; i <= 4; i++) {
-		char id[8];
-
-		snprintf(id, sizeof(id), "s%d", i);
-		world_add_server(&w, id, "svc", 3);
-	}
+	world_add_servers(&w, "svc", 4, 3);
 	for (int i = 0; i < 40; i++) {
 		struct cgw_ask a = world_ask(&w, "svc", false);
 		const struct cgw_verdict *v = world_put(&w, &a);
@@ -315,9 +308,7 @@
 
 	(void)state;
 	world_init(&w, 1);
-	world_add_server(&w, "s1", "svc", 3);
-	world_add_server(&w, "s2", "svc", 3);
-	world_add_server(&w, "s3", "svc", 3);
+	world_add_servers(&w, "svc", 3, 3);
 	teach_usual(&w, "svc", 100);
 	while (cgw_broker_trust(w.broker, "s1", w.now) < CGW_TRUST_SUSPECT) {
 		struct cgw_ask a = world_ask(&w, "svc", true);
@@ -416,12 +407,7 @@
 
 	(void)state;
 	world_init(&w, 1);
-	for (int i = 1; i <= 4; i++) {
-		char id[8];
-
-		snprintf(id, sizeof(id), "s%d", i);
-		world_add_server(&w, id, "svc", 3);
-	}
+	world_add_servers(&w, "svc", 4, 3);
 	teach_usual(&w, "svc", 200);
 	hung[0] = world_ask(&w, "svc", false);
 	strcpy(sick, world_put(&w, &hung[0])->u.grant.server);
@@ -533,12 +519,7 @@
 
 	(void)state;
 	world_init(&w, 1);
-	for (int i = 1; i <= 9; i++) {
-		char id[8];
-
-		snprintf(id, sizeof(id), "s%d", i);
-		world_add_server(&w, id, "svc", 100);
-	}
+	world_add_servers(&w, "svc", 9, 100);
 	for (int i = 0; i < 100; i++) {
 		struct cgw_ask a = world_ask(&w, "svc", true);
 		const struct cgw_verdict *v;
