--- a/review/stand/case_long_head.c
+++ b/review/stand/case_long_head.c
@@ -1,5 +1,5 @@
 /*
- * Case 3: requests whose heads are long, but within max_header_bytes. Each that
+ * Case 4: requests whose heads are long, but within max_header_bytes. Each that
  * a server has run must be answered.
  */
 #include <signal.h>
