--- a/review/stand/rig.c
+++ b/review/stand/rig.c
@@ -145,12 +145,32 @@
 	return fd;
 }
 
+static bool can_bind(int type, uint16_t port)
+{
+	struct sockaddr_in a = { .sin_family = AF_INET, .sin_port = htons(port) };
+	int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
+	bool ok = !bind(fd, (struct sockaddr *)&a, sizeof(a));
+
+	close(fd);
+	return ok;
+}
+
+/* Returns a port that is free on all addresses, for TCP and UDP. It is below the
+ * ports that the kernel gives to outgoing connections, so that none of those
+ * takes it before the gateway does. */
 static uint16_t free_port(void)
 {
-	uint16_t port;
+	static unsigned int next;
+
+	if (!next)
+		next = (unsigned int)getpid() * 37u + (unsigned int)now_ms();
+	for (int i = 0; i < 1000; i++) {
+		uint16_t port = (uint16_t)(20000 + next++ % 12000);
 
-	close(listen_on(&port));
-	return port;
+		if (can_bind(SOCK_STREAM, port) && can_bind(SOCK_DGRAM, port))
+			return port;
+	}
+	rig_exit(RIG_CANNOT_RUN, "no free port");
 }
 
 static pid_t spawn(char *const argv[], const char *settings, const char *log)
@@ -369,9 +389,12 @@
 	for (int i = 0; i < gateway_count;) {
 		if (gateway_ready_status(&gateways[i]) == 200)
 			i++;
-		else if (now_ms() > end)
+		else if (now_ms() > end) {
+			for (int k = 0; k < gateway_count; k++)
+				gateway_log_to_record(&gateways[k], "", 40);
 			rig_exit(RIG_CANNOT_RUN, "gateway %s is not ready",
 				 gateways[i].name);
+		}
 		else
 			sleep_ms(50);
 	}
