--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,5 +3,5 @@
 # TROUBLE=0: the same without the disruption. Writes record.txt beside it.
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
-[ -x review/bin/case_cut_watch ] && [ -x target/celeryglade-gateway ] || exit 2
-exec review/bin/case_cut_watch "$here"
+[ -x build/review/case_5 ] && [ -x target/celeryglade-gateway ] || exit 2
+exec build/review/case_5 "$here"
