Free the exchange of a caller that leaves within its head once

Cause: the exchange of a request whose head is not complete was owned both by libmicrohttpd's request context and by connection.incomplete. libmicrohttpd 0.9.75 does report the end of such a request, against the comment in on_request_target(); on_completed() freed the exchange and the close of the connection freed it again.

Change: the exchange refers to its connection from its creation, and on_completed() clears connection.incomplete, so it is freed once whether or not its end is reported.

--- a/src/gateway/ingress.c
+++ b/src/gateway/ingress.c
@@ -48,7 +48,9 @@
 	struct cgw_ingress *ingress;
 	struct MHD_Connection *mhd;
 	struct cgw_exchange *exchange; /* the request being handled */
-	struct cgw_exchange *incomplete; /* its head is not read yet */
+	/* Its head is not read yet; freed when libmicrohttpd reports its end,
+	 * or else with the connection. */
+	struct cgw_exchange *incomplete;
 	cg_ms last_bytes_at; /* when bytes last arrived; 0: unknown */
 	cg_ms last_completed_at; /* when a request last ended; 0: never */
 	bool suspended; /* by MHD_suspend_connection() */
@@ -84,6 +86,13 @@
 	}
 }
 
+static void free_incomplete(struct connection *c)
+{
+	if (c->incomplete)
+		cgw_exchange_free(c->incomplete);
+	c->incomplete = NULL;
+}
+
 static void on_connection(void *cls, struct MHD_Connection *mhd, void **context,
 			  enum MHD_ConnectionNotificationCode code)
 {
@@ -95,8 +104,7 @@
 	if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
 		if (!c)
 			return;
-		if (c->incomplete)
-			cgw_exchange_free(c->incomplete);
+		free_incomplete(c);
 		cgw_loop_del(l, &c->io);
 		cds_list_del(&c->node);
 		g_free(c);
@@ -332,7 +340,6 @@
 		return MHD_NO;
 	if (!x->method) {
 		read_head(x, mhd, method);
-		x->owner = c;
 		x->completed = on_exchange_completed;
 		c->exchange = x;
 		return MHD_YES;
@@ -350,13 +357,6 @@
 	return MHD_YES;
 }
 
-static void free_incomplete(struct connection *c)
-{
-	if (c->incomplete)
-		cgw_exchange_free(c->incomplete);
-	c->incomplete = NULL;
-}
-
 /* First callback of a request; @uri is the target as the caller sent it. */
 static void *on_request_target(void *cls, const char *uri,
 			       struct MHD_Connection *mhd)
@@ -366,10 +366,9 @@
 
 	if (!c)
 		return NULL;
-	/* libmicrohttpd does not report the end of a request that is cut off
-	 * within its head, so the connection owns it until the head is read. */
 	free_incomplete(c);
 	c->incomplete = cgw_exchange_new(in->gateway, uri);
+	c->incomplete->owner = c;
 	return c->incomplete;
 }
 
@@ -385,7 +384,9 @@
 	if (!x)
 		return;
 	c = x->owner;
-	if (c && c->exchange == x) {
+	if (c->incomplete == x)
+		c->incomplete = NULL;
+	if (c->exchange == x) {
 		c->exchange = NULL;
 		c->last_completed_at = cgw_loop_now(c->ingress->gateway->loop);
 	}
--- /dev/null
+++ b/tests/test_system_ingress.c
@@ -0,0 +1,176 @@
+/* Tests the callers' side of whole gateway processes. Guards against a process
+ * that one departing or malformed caller ends, which cuts the requests of all
+ * others. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+/* cmocka needs the headers above it. */
+#include <cmocka.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "support/gateway_fleet.h"
+
+#define RUNNING 6 /* requests in progress meanwhile */
+#define WORK_MS 1500
+#define WITHIN_HEAD                                                            \
+	"GET /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: c\r\n"
+#define HEAD_STOP_MS  2800 /* idle connections are closed 2.6 s after SIGTERM */
+#define ANSWER_MS     6000
+#define LONG_HEADER   16000
+#define SHORT_HEADERS 800
+
+static void sleep_ms(unsigned int ms)
+{
+	g_usleep((gulong)ms * 1000);
+}
+
+static void start(struct gateway_fleet *f, int work_ms)
+{
+	gf_start(f, 2);
+	gf_put_config(f, true, 0, 0, "");
+	gf_wait_ready(f);
+	for (int i = 0; i < GF_SERVERS; i++)
+		f->servers[i].delay_ms = work_ms;
+}
+
+static bool is_running(struct gateway_fleet *f, unsigned int daemon)
+{
+	return waitpid(f->pids[daemon], NULL, WNOHANG) == 0;
+}
+
+/* Sends requests that must not be repeated and keeps their connections. */
+static void send_running(struct gateway_fleet *f, int fds[RUNNING])
+{
+	for (int i = 0; i < RUNNING; i++) {
+		char *text = g_strdup_printf(
+			"POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\n"
+			"X-Request-Id: run-%d\r\nAuthorization: Bearer k1\r\n"
+			"Content-Length: 1\r\n\r\nx",
+			i);
+
+		fds[i] = gf_send_raw(f, 0, text);
+		g_free(text);
+	}
+	sleep_ms(300);
+}
+
+static void assert_answered(int fds[RUNNING])
+{
+	for (int i = 0; i < RUNNING; i++) {
+		char *text = gf_read_responses(fds[i], 1, ANSWER_MS);
+
+		assert_non_null(strstr(text, "HTTP/1.1 200 "));
+		g_free(text);
+		close(fds[i]);
+	}
+}
+
+/* libmicrohttpd reports the end of a request that was cut off within its head.
+ * Freeing its exchange once more with the connection ended the process. */
+static void callers_leaving_within_a_head_end_no_process(void **state)
+{
+	struct gateway_fleet f;
+	int fds[RUNNING];
+
+	(void)state;
+	start(&f, WORK_MS);
+	send_running(&f, fds);
+	for (int i = 0; i < 3; i++) {
+		int fd = gf_send_raw(&f, 0, WITHIN_HEAD);
+
+		sleep_ms(100);
+		close(fd);
+	}
+	assert_answered(fds);
+	assert_true(is_running(&f, 0));
+	gf_stop(&f);
+}
+
+/* The same end of a request, caused by the gateway: it closes a connection that
+ * is within a head while it stops. */
+static void stop_with_a_caller_within_a_head_cuts_no_request(void **state)
+{
+	struct gateway_fleet f;
+	int fds[RUNNING], within, status = -1;
+
+	(void)state;
+	start(&f, HEAD_STOP_MS + WORK_MS);
+	gf_put_config(
+		&f, true, 0, 0,
+		",{\"name\":\"slow\",\"kind\":\"unsafe\",\"slo_ms\":5000,"
+		"\"priority\":1,\"match\":{\"path_prefix\":\"/unsafe/x/\"},"
+		"\"action\":{\"service\":\"svc\",\"timeout_ms\":8000,"
+		"\"attempts\":1}}");
+	sleep_ms(2000);
+	within = gf_send_raw(&f, 0, WITHIN_HEAD);
+	for (int i = 0; i < RUNNING; i++) {
+		char *text = g_strdup_printf(
+			"POST /unsafe/x/y HTTP/1.1\r\nHost: h.example\r\n"
+			"X-Request-Id: run-%d\r\nAuthorization: Bearer k1\r\n"
+			"Content-Length: 1\r\n\r\nx",
+			i);
+
+		fds[i] = gf_send_raw(&f, 0, text);
+		g_free(text);
+	}
+	sleep_ms(300);
+	kill(f.pids[0], SIGTERM);
+	assert_answered(fds);
+	close(within);
+	assert_int_equal(waitpid(f.pids[0], &status, 0), f.pids[0]);
+	assert_true(WIFEXITED(status) && !WEXITSTATUS(status));
+	f.pids[0] = 0;
+	gf_stop(&f);
+}
+
+/* Heads that libmicrohttpd itself refuses end a request in the same way. */
+static void refused_heads_end_no_process(void **state)
+{
+	struct gateway_fleet f;
+	GString *heads[4];
+	int fds[RUNNING];
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(heads); i++)
+		heads[i] = g_string_new("GET /safe/x HTTP/1.1\r\n");
+	g_string_append(heads[0], "X-Request-Id: r0\r\n\r\n"); /* no Host */
+	g_string_append(heads[1], "Host: h.example\r\nno colon\r\n\r\n");
+	g_string_append(heads[2], "Host: h.example\r\nX-Long: ");
+	for (int i = 0; i < LONG_HEADER; i++)
+		g_string_append_c(heads[2], 'a');
+	g_string_append(heads[2], "\r\n\r\n");
+	g_string_append(heads[3], "Host: h.example\r\n");
+	for (int i = 0; i < SHORT_HEADERS; i++)
+		g_string_append(heads[3], "X-A: b\r\n");
+	g_string_append(heads[3], "\r\n");
+
+	start(&f, WORK_MS);
+	send_running(&f, fds);
+	for (size_t i = 0; i < G_N_ELEMENTS(heads); i++) {
+		int fd = gf_send_raw(&f, 0, heads[i]->str);
+
+		g_free(gf_read_responses(fd, 1, 300));
+		close(fd);
+		g_string_free(heads[i], TRUE);
+	}
+	assert_answered(fds);
+	assert_true(is_running(&f, 0));
+	gf_stop(&f);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(callers_leaving_within_a_head_end_no_process),
+		cmocka_unit_test(
+			stop_with_a_caller_within_a_head_cuts_no_request),
+		cmocka_unit_test(refused_heads_end_no_process),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
