Do not take one failed call for an outage of the store

Cause: record_outcome() took each failed call for an outage, and for 2.2 s after an outage retain_expired_entries() keeps servers whose entries are missing, also those whose removal the store reports. They were dropped with the next answer after that. Besides, the outage ended only when both readers had succeeded, so entries that had really expired were dropped if the list was read first.

Ruled out: the watch itself. It continues from its revision and misses nothing.

Change: an outage is the time without any successful call, and counts from two intervals of server_heartbeat_ms (new setting, from the platform's heartbeat_ms) less what the first failed call may have waited. A timer ends the grace time.

--- a/include/gateway/gateway_settings.h
+++ b/include/gateway/gateway_settings.h
@@ -35,6 +35,8 @@
 	cg_ms key_proof_ms;
 	/** Time within which a change of the configuration must be in force. */
 	cg_ms config_bound_ms;
+	/** Interval at which servers renew their entries in the store. */
+	cg_ms server_heartbeat_ms;
 	double cpu_share; /**< Cores that this process may use; 0: unknown. */
 	double link_mbps; /**< Bandwidth of this machine; 0: unknown. */
 	/** Longest body of a backend server's response, and of all that are
--- a/src/gateway/feed.c
+++ b/src/gateway/feed.c
@@ -37,6 +37,9 @@
 /* The entry of a live server that expired during an outage of the store is
  * written again within two seconds after the outage. */
 #define EXPIRED_ENTRY_GRACE_MS 2200
+/* An entry expires after this many intervals without a message from its server.
+ * The last message may be one interval old when an outage begins. */
+#define EXPIRY_INTERVALS 3
 
 enum reader_kind {
 	READER_CONFIG,
@@ -107,7 +110,11 @@
 	bool retains_servers; /* some in force are not listed */
 	bool polling;
 	cg_ms polling_since;
-	cg_ms outage_ended_at; /* of the last outage of the store */
+	bool failing; /* no call has succeeded since one failed */
+	cg_ms failing_since;
+	cg_ms outage_ended_at; /* of the last outage of the store in which
+				* entries can have expired */
+	struct cgw_timer grace_timer; /* fires EXPIRED_ENTRY_GRACE_MS later */
 	cg_ms servers_read_at; /* start of that read */
 	uint64_t call_count;
 };
@@ -124,11 +131,42 @@
 	       f->readers[READER_SERVERS].failing;
 }
 
+/* Returns for how long calls must fail before the entry of a live server can
+ * have expired. The first call that fails may have waited since the beginning of
+ * the outage. A shorter failure, such as one watch that was cut, explains no
+ * missing entry: its server has left. */
+static cg_ms least_outage_ms(const struct cgw_feed *f)
+{
+	return MAX(0,
+		   (EXPIRY_INTERVALS - 1) * f->settings->server_heartbeat_ms -
+			   CALL_TIMEOUT_MS - WATCH_WAIT_MS);
+}
+
+/* Records whether the store answers any call at all. */
+static void record_store_answer(struct cgw_feed *f, bool ok)
+{
+	cg_ms now = cgw_loop_now(f->loop);
+	bool was_outage =
+		f->failing && now - f->failing_since >= least_outage_ms(f);
+
+	if (!ok && !f->failing)
+		f->failing_since = now;
+	f->failing = !ok;
+	if (!ok || !was_outage)
+		return;
+	cg_info("the store answers again after %d ms; entries may have expired",
+		(int)(now - f->failing_since));
+	f->outage_ended_at = now;
+	cgw_timer_arm(f->loop, &f->grace_timer, now + EXPIRED_ENTRY_GRACE_MS);
+}
+
 static void record_outcome(struct reader *r, bool ok, const char *reason)
 {
 	struct cgw_feed *f = r->feed;
 	bool failed = is_failing(f);
 
+	if (r->kind != READER_FLEET)
+		record_store_answer(f, ok);
 	if (!ok) {
 		r->failed_at = cgw_loop_now(f->loop);
 		if (!r->failing)
@@ -138,13 +176,11 @@
 	r->retry_delay = ok ? 0
 			    : CLAMP(r->retry_delay * 2, RETRY_DELAY_MIN_MS,
 				    RETRY_DELAY_MAX_MS);
-	if (failed && !is_failing(f)) {
-		f->outage_ended_at = cgw_loop_now(f->loop);
+	if (failed && !is_failing(f))
 		cg_info("the store answers again");
-	} else if (!failed && is_failing(f)) {
+	else if (!failed && is_failing(f))
 		cg_warning("cannot read the %s from the store: %s",
 			   reader_names[r->kind], reason);
-	}
 }
 
 /* Parses a configuration and puts it into force if its version is newer than
@@ -260,6 +296,14 @@
 			  fresh->len);
 }
 
+static void on_grace_end(struct cgw_timer *t)
+{
+	struct cgw_feed *f = caa_container_of(t, struct cgw_feed, grace_timer);
+
+	if (f->retains_servers)
+		apply_servers(&f->readers[READER_SERVERS], f->servers_read_at);
+}
+
 static void list_server(struct cgw_feed *f, const struct cgw_server_facts *s)
 {
 	struct cgw_server_facts *copy = g_memdup2(s, sizeof(*s));
@@ -624,6 +668,7 @@
 	f->proved_at = -1;
 	f->servers_read_at = -1;
 	f->outage_ended_at = -EXPIRED_ENTRY_GRACE_MS;
+	f->grace_timer.fire = on_grace_end;
 	f->servers = g_array_new(FALSE, TRUE, sizeof(struct cgw_server_facts));
 	f->listed_servers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
@@ -646,6 +691,7 @@
 {
 	if (!f)
 		return;
+	cgw_timer_cancel(f->loop, &f->grace_timer);
 	for (int i = 0; i < READER_COUNT; i++) {
 		struct reader *r = &f->readers[i];
 
@@ -679,6 +725,7 @@
 			: "stops polling the store; another daemon reads it");
 	/* What was seen of the store before says nothing about now. */
 	f->readers[READER_SERVERS].failing = false;
+	f->failing = false;
 	if (!polling)
 		return;
 	f->polling_since = cgw_loop_now(f->loop);
--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -27,6 +27,7 @@
 	"grace_ms",
 	"log_level",
 	"config_bound_ms",
+	"server_heartbeat_ms",
 	"cpu_share",
 	"link_mbps",
 	"response_max_bytes",
@@ -124,6 +125,8 @@
 	rc |= get_fraction(o, "min_share", 1, &s->min_share, f);
 	rc |= get_number(o, "config_bound_ms", 100, 3600000,
 			 &s->config_bound_ms, f);
+	rc |= get_number(o, "server_heartbeat_ms", 100, 3600000,
+			 &s->server_heartbeat_ms, f);
 	rc |= get_number(o, "response_max_bytes", 1024, G_MAXINT,
 			 &s->response_max_bytes, f);
 	rc |= get_number(o, "responses_max_bytes", 1024, G_MAXINT,
@@ -149,6 +152,7 @@
 	s->key_proof_ms = 5000;
 	s->min_share = 0.7;
 	s->config_bound_ms = 2000;
+	s->server_heartbeat_ms = 1500;
 	s->response_max_bytes = 16 * 1024 * 1024;
 	s->responses_max_bytes = 48 * 1024 * 1024;
 	s->grace_ms = 6000;
--- a/tests/test_gateway_settings.c
+++ b/tests/test_gateway_settings.c
@@ -43,6 +43,7 @@
 	assert_int_equal(s.domains->len, 2);
 	assert_int_equal(s.key_proof_ms, 5000);
 	assert_int_equal(s.grace_ms, 6000);
+	assert_int_equal(s.server_heartbeat_ms, 1500);
 	assert_string_equal(s.log_level, "info");
 	cgw_settings_clear(&s);
 }
@@ -57,6 +58,7 @@
 			      "\"min_share\":1,\"retry_slack\":56,"
 			      "\"retry_window_ms\":10000,\"key_proof_ms\":3000,"
 			      "\"grace_ms\":9000,\"log_level\":\"debug\","
+			      "\"server_heartbeat_ms\":400,"
 			      "\"metrics_port\":9464}",
 			      &s, &f),
 			 0);
