Let the scripted server of the tests end its threads before it is freed

Seen: beside load, test_system_gateway ended without a summary in one run, with exit status 255 in another, and hung in a third (of four concurrent runs). gdb on the third: SIGSEGV in malloc_consolidate(), a corrupted heap of the test itself.

Cause: scripted_stop() waited 150 ms for the detached threads of its clients and then freed the table that they write to; the structure itself is on the stack of a test that returns.

Change: the threads are counted, and scripted_stop() waits for the last one.

--- a/tests/support/scripted_server.c
+++ b/tests/support/scripted_server.c
@@ -256,6 +256,7 @@
 	close(p->fd);
 	g_string_free(in, TRUE);
 	g_free(p);
+	s->clients--;
 	return NULL;
 }
 
@@ -274,6 +275,7 @@
 		if (fd < 0)
 			continue;
 		s->connections++;
+		s->clients++;
 		p = g_new0(struct client, 1);
 		p->server = s;
 		p->fd = fd;
@@ -307,9 +309,10 @@
 	s->stopping = true;
 	g_thread_join(s->thread);
 	close(s->fd);
-	/* The threads of the clients end within 100 ms, or after delay_ms if
-	 * that is longer. */
-	g_usleep(150000);
+	/* The threads of the clients use @s until they end: within 50 ms, or
+	 * after delay_ms if that is longer. */
+	while (s->clients)
+		g_usleep(1000);
 	g_hash_table_unref(s->runs);
 	g_free(s->last_head);
 }
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -62,6 +62,7 @@
 	GHashTable *runs; /**< Request id to number of runs. */
 	/** The last request as received; protected by lock. */
 	char *last_head;
+	_Atomic int clients; /**< Threads that serve a connection. */
 	_Atomic bool drop_idle; /**< Close idle connections. */
 	_Atomic bool stopping;
 };
