Take no copy of a rejection for the response to another request

Cause: is_own_response() accepted an error without an id on any connection, so a late copy of an earlier rejection with X-Not-Run became the proof that the request now running there had not run.

Ruled out: "not sent" on real sockets. A call counts as not sent only if no send() returned a positive number, or the connect failed. Copies of responses with another id were told apart before.

Change: on a reused connection an error without an id is discarded; a connection is not reused after a response without an id, nor for an id that it has carried recently; requests without an id use new connections.

Evidence: copies_of_rejections_prove_nothing_to_callers failed before ("status 200, runs 3"), as did copy_of_a_rejection_proves_nothing and connection_carries_an_id_once; all pass now.

--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -471,8 +471,11 @@
 	c->id = x->id;
 	c->head = !strcmp(x->method, "HEAD");
 	c->connect_ms = CONNECT_MS;
-	c->reuse_ms = x->route->idempotent ? REUSE_IDEMPOTENT_MS
-					   : REUSE_NON_IDEMPOTENT_MS;
+	/* Without an id, a late response to an earlier request on the
+	 * connection could not be told from the own one. */
+	c->reuse_ms = !x->id		     ? 0
+		      : x->route->idempotent ? REUSE_IDEMPOTENT_MS
+					     : REUSE_NON_IDEMPOTENT_MS;
 	c->deadline = x->deadline;
 	c->done = on_call_done;
 	x->possible_runs++;
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -30,7 +30,10 @@
 #define TOTAL_BYTES_DEFAULT    ((int64_t)48 * 1024 * 1024)
 /* Interim responses, and responses to other requests, before the own one. */
 #define INTERIM_MAX 8
-#define READ_SIZE   16384
+/* Requests after which a connection may carry the same id again. A copy of a
+ * response arrives soon after it, if at all. */
+#define RECENT_IDS 8
+#define READ_SIZE  16384
 
 struct cgw_conn {
 	struct cgw_io io;
@@ -50,6 +53,8 @@
 	int64_t buffered; /* bytes of the present body */
 	cg_ms last_used;
 	cg_ms keep_alive_ms; /* from the Keep-Alive header; 0: none */
+	guint recent_ids[RECENT_IDS]; /* hashes of the ids sent last */
+	unsigned int ids_sent;
 };
 
 struct idle_list {
@@ -367,7 +372,7 @@
 }
 
 /* Returns whether the response that was just parsed belongs to the call. */
-static bool is_own_response(struct cgw_call *call, int status)
+static bool is_own_response(const struct cgw_call *call, int status)
 {
 	const char *id;
 
@@ -376,9 +381,34 @@
 	if (!call->id_header)
 		return true;
 	id = cgw_call_header(call, call->id_header);
-	/* A server may reject a request before it has read the id, so an error
-	 * without an id is accepted. A success without an id is not. */
-	return id ? !strcmp(id, call->id) : status >= 300;
+	if (id)
+		return !strcmp(id, call->id);
+	/* A server may reject a request before it has read the id. On a
+	 * connection that has carried other requests, an error without an id
+	 * may be a copy of the response to one of them. */
+	return status >= 300 && !call->reused;
+}
+
+/* Returns whether @call's id was recently sent on the connection: a copy of that
+ * response could not be told from the response to @call. */
+static bool has_sent_id(const struct cgw_conn *c, const struct cgw_call *call)
+{
+	guint hash;
+
+	if (!call->id_header)
+		return false;
+	hash = g_str_hash(call->id);
+	for (unsigned int i = 0; i < MIN(c->ids_sent, RECENT_IDS); i++)
+		if (c->recent_ids[i] == hash)
+			return true;
+	return false;
+}
+
+static void record_id(struct cgw_conn *c, const struct cgw_call *call)
+{
+	if (call->id_header)
+		c->recent_ids[c->ids_sent++ % RECENT_IDS] =
+			g_str_hash(call->id);
 }
 
 static void update_keep_alive(struct cgw_conn *c)
@@ -423,15 +453,24 @@
 			if (n < len || !http_should_keep_alive(&c->parser) ||
 			    c->out_pos < call->request->len)
 				c->no_reuse = true;
+			/* A copy of it would have no id either. */
+			if (call->id_header &&
+			    !cgw_call_header(call, call->id_header))
+				c->no_reuse = true;
 			update_keep_alive(c);
 			finish_call(call, CGW_CALL_RESPONDED, data != NULL);
 			return true;
 		}
 		if (call->status >= 200) {
 			c->no_reuse = true;
-			cg_info("discarded a response from %s that belongs to "
-				"another request",
-				c->address);
+			cg_info("discarded a response from %s with status %d "
+				"that belongs to another request",
+				c->address, call->status);
+			/* Nothing that follows can be this call's response. */
+			if (!http_should_keep_alive(&c->parser)) {
+				finish_call(call, CGW_CALL_LOST, false);
+				return true;
+			}
 		}
 		if (++call->interim > INTERIM_MAX) {
 			cg_info("cut off %s: %u responses before the one to "
@@ -595,6 +634,8 @@
 	cds_list_for_each_entry_safe(c, next, &l->head, node) {
 		if (now - c->last_used >= MIN(call->reuse_ms, idle_limit_ms(c)))
 			return NULL;
+		if (has_sent_id(c, call))
+			continue;
 		idle_remove(c);
 		if (has_no_input(c))
 			return c;
@@ -633,6 +674,7 @@
 	}
 	c->call = call;
 	call->conn = c;
+	record_id(c, call);
 	c->out_pos = 0;
 	c->response_started = false;
 	reset_response(c);
--- a/tests/support/scripted_server.c
+++ b/tests/support/scripted_server.c
@@ -16,6 +16,7 @@
 struct client {
 	struct scripted_server *server;
 	int fd;
+	unsigned int served; /* requests on this connection before */
 };
 
 static char *header(const char *head, const char *name)
@@ -139,13 +140,34 @@
 	return mode;
 }
 
+/* Runs the request, sends a copy of an earlier rejection and, while a client that
+ * believes the copy may try elsewhere, the response. */
+static void respond_after_copy(struct client *p, const char *id,
+			       const char *copy_id)
+{
+	record_run(p->server, id);
+	send_response(p->fd, 503, copy_id, "X-Not-Run: 1\r\n", true,
+		      RESPONSE_BODY);
+	g_usleep(LATE_COPY_US);
+	send_response(p->fd, 200, id, "X-Response-Seal: s\r\n", true,
+		      RESPONSE_BODY);
+}
+
+static bool may_not_run(int mode)
+{
+	return mode == SCRIPTED_SHED || mode == SCRIPTED_MISPLACED ||
+	       mode == SCRIPTED_SHED_COPY || mode == SCRIPTED_STRAY_SHED ||
+	       mode == SCRIPTED_SHED_COPY_WITH_ID;
+}
+
 /* Responds according to the mode. Returns whether the connection stays open. */
 static bool respond(struct client *p, const char *id)
 {
 	static const char seal[] = "X-Response-Seal: s\r\n";
 	int mode = next_mode(p->server);
+	char *text;
 
-	if (mode != SCRIPTED_SHED && mode != SCRIPTED_MISPLACED)
+	if (!may_not_run(mode))
 		record_run(p->server, id);
 	if (p->server->delay_ms)
 		g_usleep((gulong)p->server->delay_ms * 1000);
@@ -195,6 +217,46 @@
 		g_usleep(LATE_COPY_US);
 		send_response(p->fd, 200, id, seal, true, RESPONSE_BODY);
 		return true;
+	case SCRIPTED_SHED_COPY:
+		if (p->served)
+			respond_after_copy(p, id, NULL);
+		else
+			send_response(p->fd, 503, NULL, "X-Not-Run: 1\r\n",
+				      true, RESPONSE_BODY);
+		return true;
+	case SCRIPTED_STRAY_SHED:
+		if (p->served) {
+			respond_after_copy(p, id, NULL);
+			return true;
+		}
+		record_run(p->server, id);
+		send_response(p->fd, 200, id, seal, true, RESPONSE_BODY);
+		return true;
+	case SCRIPTED_SHED_COPY_WITH_ID:
+		if (p->served)
+			respond_after_copy(p, id, id);
+		else
+			send_response(p->fd, 503, id, "X-Not-Run: 1\r\n", true,
+				      RESPONSE_BODY);
+		return true;
+	case SCRIPTED_BUSY:
+		send_response(p->fd, 503, id, seal, true, RESPONSE_BODY);
+		return true;
+	case SCRIPTED_LIMITED:
+		send_response(p->fd, 429, id, seal, true, RESPONSE_BODY);
+		return true;
+	case SCRIPTED_IMPATIENT:
+		send_response(p->fd, 408, id, seal, true, RESPONSE_BODY);
+		return true;
+	case SCRIPTED_TRAILER:
+		text = g_strdup_printf(
+			"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+			"X-Request-Id: %s\r\n%s\r\n3\r\nall\r\n0\r\n"
+			"X-Not-Run: 1\r\nX-Other: 1\r\n\r\n",
+			id, seal);
+		send_text(p->fd, text);
+		g_free(text);
+		return true;
 	case SCRIPTED_ENDLESS_GARBAGE:
 	case SCRIPTED_ENDLESS_HEAD:
 	case SCRIPTED_ENDLESS_INTERIM:
@@ -250,6 +312,7 @@
 		g_mutex_unlock(&s->lock);
 		id = header(in->str, "X-Request-Id");
 		keep_open = respond(p, id ? id : "");
+		p->served++;
 		g_free(id);
 		g_string_truncate(in, 0);
 	}
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -33,6 +33,21 @@
 	SCRIPTED_NO_BODY,
 	/** Sends the response, and 30 ms later once more. */
 	SCRIPTED_LATE_COPY,
+	/** Responds 503 with X-Not-Run and no id. The next request on the
+	 * connection runs, and a copy of the 503 comes before its response. */
+	SCRIPTED_SHED_COPY,
+	/** The same, but the first request on the connection is served. */
+	SCRIPTED_STRAY_SHED,
+	/** Rejects an id with X-Not-Run and the id. When it comes again on the
+	 * connection, it runs, and a copy of the rejection comes before its
+	 * response. */
+	SCRIPTED_SHED_COPY_WITH_ID,
+	/** Runs the request, responds 503 (429, 408) without X-Not-Run. */
+	SCRIPTED_BUSY,
+	SCRIPTED_LIMITED,
+	SCRIPTED_IMPATIENT,
+	/** Responds 200 in chunks, with X-Not-Run in the trailer. */
+	SCRIPTED_TRAILER,
 	/** Send without end until the client closes: */
 	SCRIPTED_ENDLESS_GARBAGE, /**< Bytes that are not HTTP. */
 	SCRIPTED_ENDLESS_HEAD, /**< Header fields. */
--- a/tests/test_gateway_upstream.c
+++ b/tests/test_gateway_upstream.c
@@ -320,6 +320,54 @@
 	}
 }
 
+/* An earlier rejection that comes once more, without an id, on a connection that
+ * is in use again was taken as the proof that the next request had not run: that
+ * ran twice, or its caller was told to try again. */
+static void copy_of_a_rejection_proves_nothing(void **state)
+{
+	static const int modes[] = { SCRIPTED_SHED_COPY, SCRIPTED_STRAY_SHED };
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(modes); i++) {
+		struct fixture f;
+
+		setup(&f);
+		f.server.mode = modes[i];
+		call(&f, "a1");
+		assert_int_equal(f.call.outcome, CGW_CALL_RESPONDED);
+		if (modes[i] == SCRIPTED_SHED_COPY) {
+			assert_int_equal(f.call.status, 503);
+			f.server.mode = SCRIPTED_STRAY_SHED;
+		}
+		call(&f, "a2");
+		assert_int_equal(f.call.outcome, CGW_CALL_RESPONDED);
+		assert_int_equal(f.call.status, 200);
+		assert_int_equal(scripted_runs(&f.server, "a2"), 1);
+		teardown(&f);
+	}
+}
+
+/* The id cannot tell a copy of an earlier rejection from the response to a
+ * request that has the same id. */
+static void connection_carries_an_id_once(void **state)
+{
+	struct fixture f;
+
+	(void)state;
+	setup(&f);
+	f.server.mode = SCRIPTED_SHED_COPY_WITH_ID;
+	call(&f, "a1");
+	assert_int_equal(f.call.status, 503);
+	f.server.mode = SCRIPTED_OK;
+	call(&f, "a2");
+	assert_true(f.call.reused);
+	f.server.mode = SCRIPTED_SHED_COPY_WITH_ID;
+	call(&f, "a1");
+	assert_false(f.call.reused);
+	assert_int_equal(f.server.connections, 2);
+	teardown(&f);
+}
+
 /* The head of a response to HEAD states the length of a body that does not
  * follow. */
 static void response_to_head_has_no_body(void **state)
@@ -344,6 +392,8 @@
 		cmocka_unit_test(all_bodies_together_are_bounded),
 		cmocka_unit_test(late_copy_of_a_response_goes_to_nobody),
 		cmocka_unit_test(response_to_head_has_no_body),
+		cmocka_unit_test(copy_of_a_rejection_proves_nothing),
+		cmocka_unit_test(connection_carries_an_id_once),
 		cmocka_unit_test(call_returns_the_whole_response),
 		cmocka_unit_test(idle_connections_are_reused),
 		cmocka_unit_test(request_is_never_sent_twice),
--- a/tests/test_system_gateway.c
+++ b/tests/test_system_gateway.c
@@ -343,11 +343,16 @@
 		int status;
 		int runs;
 	} cases[] = {
-		{ SCRIPTED_OK, 200, 1 },	{ SCRIPTED_CLOSE, 502, 1 },
-		{ SCRIPTED_TRUNCATE, 502, 1 },	{ SCRIPTED_GARBAGE, 502, 1 },
-		{ SCRIPTED_UNSEALED, 502, 1 },	{ SCRIPTED_CROSSED, 200, 1 },
-		{ SCRIPTED_UNFRAMED, 200, 1 },	{ SCRIPTED_ERROR, 500, 1 },
-		{ SCRIPTED_HANG, 504, 1 },	{ SCRIPTED_SHED, 503, 0 },
+		{ SCRIPTED_OK, 200, 1 },
+		{ SCRIPTED_CLOSE, 502, 1 },
+		{ SCRIPTED_TRUNCATE, 502, 1 },
+		{ SCRIPTED_GARBAGE, 502, 1 },
+		{ SCRIPTED_UNSEALED, 502, 1 },
+		{ SCRIPTED_CROSSED, 200, 1 },
+		{ SCRIPTED_UNFRAMED, 200, 1 },
+		{ SCRIPTED_ERROR, 500, 1 },
+		{ SCRIPTED_HANG, 504, 1 },
+		{ SCRIPTED_SHED, 503, 0 },
 		{ SCRIPTED_MISPLACED, 503, 0 },
 	};
 	struct gateway_fleet f;
@@ -379,6 +384,39 @@
 	gf_stop(&f);
 }
 
+/* Servers write an earlier rejection once more while they run a request. As a
+ * proof it made requests run twice, or told their callers to try again. */
+static void copies_of_rejections_prove_nothing_to_callers(void **state)
+{
+	static const enum scripted_mode modes[] = { SCRIPTED_STRAY_SHED,
+						    SCRIPTED_SHED_COPY };
+	struct gateway_fleet f;
+
+	(void)state;
+	start_ready_fleet(&f, 2);
+	for (int i = 0; i < 24; i++) {
+		struct gf_request r = { .daemon = 0,
+					.method = "POST",
+					.path = "/unsafe/x",
+					.key = "k1" };
+		struct gf_response a;
+		char id[32];
+		int runs;
+
+		set_modes(&f, modes[i / 12]);
+		snprintf(id, sizeof(id), "copy-%d", i);
+		r.id = id;
+		a = gf_call(&f, &r);
+		runs = gf_total_runs(&f, id);
+		print_message("%s: status %d, runs %d\n", id, a.status, runs);
+		assert_true(runs <= 1);
+		assert_true(a.status == 200 ? runs == 1 : runs == 0);
+		assert_true(a.status == 200 ||
+			    modes[i / 12] == SCRIPTED_SHED_COPY);
+	}
+	gf_stop(&f);
+}
+
 /* An idempotent request succeeds at another server, however the first fails. */
 static void idempotent_request_is_retried_at_another_server(void **state)
 {
@@ -887,6 +925,7 @@
 		cmocka_unit_test(leaving_servers_get_no_requests),
 		cmocka_unit_test(invalid_server_entries_are_ignored),
 		cmocka_unit_test(non_idempotent_request_runs_at_most_once),
+		cmocka_unit_test(copies_of_rejections_prove_nothing_to_callers),
 		cmocka_unit_test(
 			idempotent_request_is_retried_at_another_server),
 		cmocka_unit_test(
