Ignore trailer fields of responses

A trailer field X-Not-Run made a response that had come whole a rejection, and the request could run twice.

Cause: http_parser reports trailer fields with the callbacks of header fields, and upstream.c added them to the headers.

Change: fields after the end of the head are ignored.

Evidence: trailer_fields_prove_nothing failed before and passes now.

--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -46,6 +46,7 @@
 	GString *value;
 	bool in_value;
 	bool connected;
+	bool head_complete; /* what follows are trailer fields */
 	bool complete; /* a whole response has been parsed */
 	bool response_started; /* at least one byte has been received */
 	bool no_reuse;
@@ -288,10 +289,13 @@
 	g_string_truncate(c->value, 0);
 }
 
+/* Trailer fields are ignored: they must not add to what the head proves. */
 static int on_field(http_parser *p, const char *at, size_t len)
 {
 	struct cgw_conn *c = p->data;
 
+	if (c->head_complete)
+		return 0;
 	if (c->in_value)
 		add_header(c);
 	c->in_value = false;
@@ -303,6 +307,8 @@
 {
 	struct cgw_conn *c = p->data;
 
+	if (c->head_complete)
+		return 0;
 	c->in_value = true;
 	g_string_append_len(c->value, at, (gssize)len);
 	return 0;
@@ -317,6 +323,7 @@
 
 	add_header(c);
 	c->in_value = false;
+	c->head_complete = true;
 	return c->call->head ? RESPONSE_WITHOUT_BODY : 0;
 }
 
@@ -363,6 +370,7 @@
 	http_parser_init(&c->parser, HTTP_RESPONSE);
 	c->parser.data = c;
 	c->complete = false;
+	c->head_complete = false;
 	c->in_value = false;
 	g_string_truncate(c->name, 0);
 	g_string_truncate(c->value, 0);
--- a/tests/test_gateway_upstream.c
+++ b/tests/test_gateway_upstream.c
@@ -368,6 +368,21 @@
 	teardown(&f);
 }
 
+/* A trailer field X-Not-Run or seal is no part of what the head states. */
+static void trailer_fields_prove_nothing(void **state)
+{
+	struct fixture f;
+
+	(void)state;
+	setup(&f);
+	f.server.mode = SCRIPTED_TRAILER;
+	call(&f, "a1");
+	assert_int_equal(f.call.outcome, CGW_CALL_RESPONDED);
+	assert_memory_equal(f.call.body->data, "all", 3);
+	assert_null(cgw_call_header(&f.call, "X-Not-Run"));
+	teardown(&f);
+}
+
 /* The head of a response to HEAD states the length of a body that does not
  * follow. */
 static void response_to_head_has_no_body(void **state)
@@ -394,6 +409,7 @@
 		cmocka_unit_test(response_to_head_has_no_body),
 		cmocka_unit_test(copy_of_a_rejection_proves_nothing),
 		cmocka_unit_test(connection_carries_an_id_once),
+		cmocka_unit_test(trailer_fields_prove_nothing),
 		cmocka_unit_test(call_returns_the_whole_response),
 		cmocka_unit_test(idle_connections_are_reused),
 		cmocka_unit_test(request_is_never_sent_twice),
