Use new connections to servers whose responses have no id

Cause: on a reused connection a rejection without an id cannot be told from a copy of another one.

Change: after any response without an id, connections to that address are not reused for 30 s, so its next rejections are known to be its own. The call that met the first one ends as lost when the request is overdue.

--- a/include/gateway/upstream.h
+++ b/include/gateway/upstream.h
@@ -38,6 +38,9 @@
 	cg_ms connect_ms; /**< Timeout for a new connection. */
 	cg_ms reuse_ms; /**< Reuse connections idle for less; 0: none. */
 	cg_ms deadline; /**< Time at which the call times out. */
+	/** After an error without an id on a reused connection: how long to
+	 * wait for the own response. The call then ends as lost. */
+	cg_ms unidentified_wait_ms;
 	/** Called once, never from within cgw_call_start(). */
 	void (*done)(struct cgw_call *c);
 
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -477,6 +477,7 @@
 		      : x->route->idempotent ? REUSE_IDEMPOTENT_MS
 					     : REUSE_NON_IDEMPOTENT_MS;
 	c->deadline = x->deadline;
+	c->unidentified_wait_ms = a->overdue_ms;
 	c->done = on_call_done;
 	x->possible_runs++;
 	x->sent_attempts++;
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -33,7 +33,10 @@
 /* Requests after which a connection may carry the same id again. A copy of a
  * response arrives soon after it, if at all. */
 #define RECENT_IDS 8
-#define READ_SIZE  16384
+/* After a response without an id, connections to its server are not reused for
+ * this time: on a new connection such a response is known to be the own one. */
+#define UNIDENTIFIED_MS 30000
+#define READ_SIZE	16384
 
 struct cgw_conn {
 	struct cgw_io io;
@@ -66,6 +69,8 @@
 struct cgw_upstream {
 	struct cgw_loop *loop;
 	GHashTable *idle; /* address to struct idle_list */
+	/* Address to the time until which connections are not reused. */
+	GHashTable *unidentified;
 	struct cgw_timer sweep;
 	uint64_t opened;
 	int64_t response_max, total_max; /* bytes */
@@ -161,6 +166,8 @@
 	u->loop = l;
 	u->idle = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					free_idle_list);
+	u->unidentified =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	u->sweep.fire = sweep;
 	u->response_max = RESPONSE_BYTES_DEFAULT;
 	u->total_max = TOTAL_BYTES_DEFAULT;
@@ -180,6 +187,7 @@
 		return;
 	cgw_timer_cancel(u->loop, &u->sweep);
 	g_hash_table_unref(u->idle);
+	g_hash_table_unref(u->unidentified);
 	g_free(u);
 }
 
@@ -419,6 +427,44 @@
 			g_str_hash(call->id);
 }
 
+static bool is_unidentified(const struct cgw_call *call)
+{
+	return call->id_header && !cgw_call_header(call, call->id_header);
+}
+
+static void record_unidentified(struct cgw_conn *c)
+{
+	cg_ms until = cgw_loop_now(c->client->loop) + UNIDENTIFIED_MS;
+
+	g_hash_table_replace(c->client->unidentified, g_strdup(c->address),
+			     g_memdup2(&until, sizeof(until)));
+}
+
+/* Returns whether responses from @address may come without an id. */
+static bool omits_ids(struct cgw_upstream *u, const char *address)
+{
+	const cg_ms *until = g_hash_table_lookup(u->unidentified, address);
+
+	if (until && *until > cgw_loop_now(u->loop))
+		return true;
+	if (until)
+		g_hash_table_remove(u->unidentified, address);
+	return false;
+}
+
+/* An error without an id on a reused connection is a copy or the server's only
+ * response. Waits for the own response for a limited time. */
+static void limit_wait(struct cgw_conn *c)
+{
+	struct cgw_call *call = c->call;
+	cg_ms until =
+		cgw_loop_now(c->client->loop) + call->unidentified_wait_ms;
+
+	record_unidentified(c);
+	if (until < call->timer.expires_at)
+		cgw_timer_arm(c->client->loop, &call->timer, until);
+}
+
 static void update_keep_alive(struct cgw_conn *c)
 {
 	const char *text = cgw_call_header(c->call, "Keep-Alive");
@@ -462,9 +508,10 @@
 			    c->out_pos < call->request->len)
 				c->no_reuse = true;
 			/* A copy of it would have no id either. */
-			if (call->id_header &&
-			    !cgw_call_header(call, call->id_header))
+			if (is_unidentified(call)) {
 				c->no_reuse = true;
+				record_unidentified(c);
+			}
 			update_keep_alive(c);
 			finish_call(call, CGW_CALL_RESPONDED, data != NULL);
 			return true;
@@ -479,6 +526,8 @@
 				finish_call(call, CGW_CALL_LOST, false);
 				return true;
 			}
+			if (is_unidentified(call) && call->status >= 300)
+				limit_wait(c);
 		}
 		if (++call->interim > INTERIM_MAX) {
 			cg_info("cut off %s: %u responses before the one to "
@@ -590,6 +639,8 @@
 
 	if (!call->conn || !call->conn->connected)
 		finish_call(call, CGW_CALL_NOT_SENT, false);
+	else if (cgw_loop_now(call->client->loop) < call->deadline)
+		finish_call(call, CGW_CALL_LOST, false);
 	else
 		finish_call(call, CGW_CALL_TIMED_OUT, false);
 }
@@ -637,7 +688,7 @@
 	cg_ms now = cgw_loop_now(u->loop);
 	struct cgw_conn *c, *next;
 
-	if (!l)
+	if (!l || (call->id_header && omits_ids(u, call->address)))
 		return NULL;
 	cds_list_for_each_entry_safe(c, next, &l->head, node) {
 		if (now - c->last_used >= MIN(call->reuse_ms, idle_limit_ms(c)))
--- a/tests/support/scripted_server.c
+++ b/tests/support/scripted_server.c
@@ -157,6 +157,7 @@
 {
 	return mode == SCRIPTED_SHED || mode == SCRIPTED_MISPLACED ||
 	       mode == SCRIPTED_SHED_COPY || mode == SCRIPTED_STRAY_SHED ||
+	       mode == SCRIPTED_SHED_WITHOUT_ID ||
 	       mode == SCRIPTED_SHED_COPY_WITH_ID;
 }
 
@@ -232,6 +233,15 @@
 		record_run(p->server, id);
 		send_response(p->fd, 200, id, seal, true, RESPONSE_BODY);
 		return true;
+	case SCRIPTED_SHED_WITHOUT_ID:
+		if (p->served) {
+			send_response(p->fd, 503, NULL, "X-Not-Run: 1\r\n",
+				      true, RESPONSE_BODY);
+			return true;
+		}
+		record_run(p->server, id);
+		send_response(p->fd, 200, id, seal, true, RESPONSE_BODY);
+		return true;
 	case SCRIPTED_SHED_COPY_WITH_ID:
 		if (p->served)
 			respond_after_copy(p, id, id);
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -38,6 +38,9 @@
 	SCRIPTED_SHED_COPY,
 	/** The same, but the first request on the connection is served. */
 	SCRIPTED_STRAY_SHED,
+	/** Serves the first request on a connection and rejects the others with
+	 * X-Not-Run and no id. */
+	SCRIPTED_SHED_WITHOUT_ID,
 	/** Rejects an id with X-Not-Run and the id. When it comes again on the
 	 * connection, it runs, and a copy of the rejection comes before its
 	 * response. */
--- a/tests/test_gateway_upstream.c
+++ b/tests/test_gateway_upstream.c
@@ -66,6 +66,8 @@
 	f->call.connect_ms = 500;
 	f->call.reuse_ms = reuse;
 	f->call.deadline = cgw_loop_now(f->loop) + time;
+	if (!f->call.unidentified_wait_ms)
+		f->call.unidentified_wait_ms = time;
 	f->call.done = on_done;
 	f->done = false;
 	cgw_call_start(f->client, &f->call);
@@ -347,6 +349,37 @@
 	}
 }
 
+/* A server that rejects without an id must not hold a caller until its deadline,
+ * and its next rejections must be known as its own. */
+static void rejection_without_an_id_does_not_hang(void **state)
+{
+	struct fixture f;
+	cg_ms started;
+
+	(void)state;
+	setup(&f);
+	f.call.unidentified_wait_ms = 200;
+	f.server.mode = SCRIPTED_SHED_WITHOUT_ID;
+	call(&f, "a1");
+	assert_int_equal(f.call.status, 200);
+	started = cgw_loop_now(f.loop);
+	call(&f, "a2");
+	assert_true(f.call.reused);
+	assert_int_equal(f.call.outcome, CGW_CALL_LOST);
+	assert_true(cgw_loop_now(f.loop) - started < 1000);
+	for (int i = 0; i < 3; i++) {
+		char id[8];
+
+		g_snprintf(id, sizeof(id), "b%d", i);
+		f.server.mode = i ? SCRIPTED_SHED_COPY : SCRIPTED_OK;
+		call(&f, id);
+		assert_false(f.call.reused);
+		assert_int_equal(f.call.outcome, CGW_CALL_RESPONDED);
+		assert_int_equal(f.call.status, i ? 503 : 200);
+	}
+	teardown(&f);
+}
+
 /* The id cannot tell a copy of an earlier rejection from the response to a
  * request that has the same id. */
 static void connection_carries_an_id_once(void **state)
@@ -408,6 +441,7 @@
 		cmocka_unit_test(late_copy_of_a_response_goes_to_nobody),
 		cmocka_unit_test(response_to_head_has_no_body),
 		cmocka_unit_test(copy_of_a_rejection_proves_nothing),
+		cmocka_unit_test(rejection_without_an_id_does_not_hang),
 		cmocka_unit_test(connection_carries_an_id_once),
 		cmocka_unit_test(trailer_fields_prove_nothing),
 		cmocka_unit_test(call_returns_the_whole_response),
