Answer 502 where a server's 503 does not state that nothing has run

Seen: a POST that a server ran and answered with 503, 429 or 408 reached its caller with that status, which promises that it has not run (REFUSED).

Cause: respond() passes the final response on unchanged, whether or not the server stated that it has not run the request.

Change: for non-idempotent requests 408, 421, 429 and 503 without the statement become 502 response_unproven, without the seal.

Evidence: non_idempotent_request_runs_at_most_once failed before with the new modes ("mode 17: status 503, runs 1") and passes now (502, runs 1).

--- a/include/celeryglade/outcome.h
+++ b/include/celeryglade/outcome.h
@@ -35,6 +35,7 @@
 	X(RESPONSE_TRUNCATED, "response_truncated", 502, false)                \
 	X(RESPONSE_MISMATCHED, "response_mismatched", 502, false)              \
 	X(RESPONSE_TOO_LARGE, "response_too_large", 502, false)                \
+	X(RESPONSE_UNPROVEN, "response_unproven", 502, false)                  \
 	X(CLAIM_UNAVAILABLE, "claim_unavailable", 503, true)                   \
 	X(CLAIM_UNKNOWN, "claim_unknown", 409, false)                          \
 	X(CLAIM_MISMATCH, "claim_mismatch", 422, true)                         \
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -204,10 +204,23 @@
 	return false;
 }
 
+/* To a caller these statuses state that the request has not run. */
+static bool status_promises_not_run(int status)
+{
+	return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 static void respond(struct cgw_exchange *x, struct cgw_attempt *a)
 {
 	struct cgw_call *c = &a->call;
 
+	/* The server did not state that it has not run the request, so its
+	 * caller must not be told so. */
+	if (!x->route->idempotent && status_promises_not_run(c->status)) {
+		x->may_have_run = true;
+		refuse(x, CG_REASON_RESPONSE_UNPROVEN, 0);
+		return;
+	}
 	x->status = c->status;
 	x->reason = CG_OK;
 	x->response_headers = g_ptr_array_new_with_free_func(g_free);
--- a/tests/test_system_gateway.c
+++ b/tests/test_system_gateway.c
@@ -351,6 +351,11 @@
 		{ SCRIPTED_CROSSED, 200, 1 },
 		{ SCRIPTED_UNFRAMED, 200, 1 },
 		{ SCRIPTED_ERROR, 500, 1 },
+		/* To its caller, each of these statuses would state that the
+		 * request has not run. */
+		{ SCRIPTED_BUSY, 502, 1 },
+		{ SCRIPTED_LIMITED, 502, 1 },
+		{ SCRIPTED_IMPATIENT, 502, 1 },
 		{ SCRIPTED_HANG, 504, 1 },
 		{ SCRIPTED_SHED, 503, 0 },
 		{ SCRIPTED_MISPLACED, 503, 0 },
