Let an odd entry of the store lose only itself

Seen: reported by operators of similar systems. Here a deeply nested entry, or one with a zero byte, made the list of servers unreadable: the gateway kept the last list, and a server that was removed stayed in use. In celerygladed any invalid entry of the list of instances did so.

Cause: lists were parsed as one document, and instances.c rejected a list for one entry.

Ruled out: an end of the process (none seen), ports 0, -1 and 65,536 (rejected).

Losing an entry is safe for membership: an instance is gone only without contact.

--- a/include/internal/jsonc.h
+++ b/include/internal/jsonc.h
@@ -37,6 +37,16 @@
 int cg_json_parse(const char *text, size_t len, const char *place,
 		  struct json_object **out, struct cg_faults *f);
 
+/**
+ * Copies a document that is an object, with each element of its members' arrays
+ * that @p is_readable rejects replaced by null. One writer's odd entry then does
+ * not make a list of many writers unreadable. The caller frees the result, of
+ * @p out_len bytes. @p dropped is the number of elements replaced.
+ */
+char *cg_json_drop_unreadable(const char *text, size_t len,
+			      bool (*is_readable)(const char *text, size_t len),
+			      size_t *out_len, unsigned int *dropped);
+
 /** Reads and parses a file of at most 16 MB. Returns what cg_json_parse
  * returns. */
 int cg_json_read_file(const char *path, struct json_object **out,
--- a/src/base/jsonc.c
+++ b/src/base/jsonc.c
@@ -224,6 +224,98 @@
 	return rc;
 }
 
+/* Depth of the elements of an array that is a member of the document. */
+#define ELEMENT_DEPTH 2
+
+/* A pass over a document that copies it element by element. */
+struct element_scan {
+	bool (*is_readable)(const char *text, size_t len);
+	GString *out;
+	GString *opened; /* the bracket that opened each level */
+	bool in_string, escaped;
+	unsigned int dropped;
+};
+
+static bool in_element(const struct element_scan *s)
+{
+	return s->opened->len >= ELEMENT_DEPTH && s->opened->str[0] == '{' &&
+	       s->opened->str[1] == '[';
+}
+
+/* Closes the last level that @bracket opened, and those within it that were not
+ * closed. */
+static void close_level(struct element_scan *s, char bracket)
+{
+	for (gsize i = s->opened->len; i > 0; i--)
+		if (s->opened->str[i - 1] == bracket) {
+			g_string_truncate(s->opened, i - 1);
+			return;
+		}
+}
+
+static void copy_element(struct element_scan *s, const char *text, size_t len)
+{
+	while (len && g_ascii_isspace(*text)) {
+		text++;
+		len--;
+	}
+	if (!len)
+		return;
+	if (s->is_readable(text, len)) {
+		g_string_append_len(s->out, text, (gssize)len);
+	} else {
+		g_string_append(s->out, "null");
+		s->dropped++;
+	}
+}
+
+static void scan_byte(struct element_scan *s, char c)
+{
+	if (s->in_string) {
+		s->in_string = s->escaped || c != '"';
+		s->escaped = !s->escaped && c == '\\';
+	} else if (c == '"') {
+		s->in_string = true;
+	} else if (c == '{' || c == '[') {
+		g_string_append_c(s->opened, c);
+	} else if (c == '}') {
+		close_level(s, '{');
+	} else if (c == ']') {
+		close_level(s, '[');
+	}
+}
+
+char *cg_json_drop_unreadable(const char *text, size_t len,
+			      bool (*is_readable)(const char *text, size_t len),
+			      size_t *out_len, unsigned int *dropped)
+{
+	struct element_scan s = { .is_readable = is_readable,
+				  .out = g_string_sized_new(len),
+				  .opened = g_string_new(NULL) };
+	size_t start = 0; /* of the element that is being passed */
+	bool was_in_element = false;
+
+	for (size_t i = 0; i < len; i++) {
+		bool ends;
+
+		scan_byte(&s, text[i]);
+		ends = was_in_element &&
+		       (!in_element(&s) || (s.opened->len == ELEMENT_DEPTH &&
+					    !s.in_string && text[i] == ','));
+		if (ends)
+			copy_element(&s, text + start, i - start);
+		if (ends || !was_in_element)
+			g_string_append_c(s.out, text[i]);
+		if (ends || !was_in_element)
+			start = i + 1;
+		was_in_element = in_element(&s);
+	}
+	g_string_free(s.opened, TRUE);
+	*dropped = s.dropped;
+	*out_len = s.out->len;
+	return g_string_free(s.out, FALSE);
+}
+
 int cg_json_read_file(const char *path, struct json_object **out,
 		      struct cg_faults *f)
 {
--- a/src/control/instances.c
+++ b/src/control/instances.c
@@ -74,16 +74,54 @@
 	return 0;
 }
 
-static int read_entries(struct json_object *a, struct cg_instance_list *out,
-			struct cg_faults *f)
+/* Skips entries that cannot be read: another program may have written one, and
+ * the others hold. Their faults are kept. */
+static void read_entries(struct json_object *a, struct cg_instance_list *out,
+			 struct cg_faults *f)
 {
-	out->n = json_object_array_length(a);
-	out->items = g_new0(struct cg_instance_entry, out->n + 1);
-	for (size_t i = 0; i < out->n; i++)
-		if (read_entry(json_object_array_get_idx(a, i), &out->items[i],
-			       f))
-			return -1;
-	return 0;
+	size_t n = json_object_array_length(a);
+
+	out->items = g_new0(struct cg_instance_entry, n + 1);
+	for (size_t i = 0; i < n; i++) {
+		struct cg_instance_entry *e = &out->items[out->n];
+
+		if (read_entry(json_object_array_get_idx(a, i), e, f))
+			memset(e, 0, sizeof(*e));
+		else
+			out->n++;
+	}
+}
+
+static bool is_readable(const char *text, size_t len)
+{
+	struct cg_faults unused = { 0 };
+	struct json_object *o = NULL;
+	int rc = cg_json_parse(text, len, PLACE, &o, &unused);
+
+	cg_faults_clear(&unused);
+	json_object_put(o);
+	return rc == 0;
+}
+
+/* Parses the document without the entries that cannot be parsed. */
+static int parse(GBytes *content, struct json_object **out, struct cg_faults *f)
+{
+	struct cg_faults first = { 0 };
+	size_t len, readable_len;
+	const char *text = g_bytes_get_data(content, &len);
+	unsigned int dropped;
+	char *readable;
+	int rc;
+
+	rc = cg_json_parse(text, len, PLACE, out, &first);
+	cg_faults_clear(&first);
+	if (!rc)
+		return 0;
+	readable = cg_json_drop_unreadable(text, len, is_readable,
+					   &readable_len, &dropped);
+	rc = cg_json_parse(readable, readable_len, PLACE, out, f);
+	g_free(readable);
+	return rc;
 }
 
 int cg_instance_list_parse(GBytes *text, struct cg_instance_list *out,
@@ -95,8 +133,7 @@
 	int rc = -1;
 
 	memset(out, 0, sizeof(*out));
-	if (cg_json_parse(g_bytes_get_data(text, NULL), g_bytes_get_size(text),
-			  PLACE, &o, f))
+	if (parse(text, &o, f))
 		return -1;
 	if (!json_object_is_type(o, json_type_object) ||
 	    cg_json_get_int(o, "version", PLACE, 1, INT64_MAX, &version, f) ||
@@ -105,10 +142,9 @@
 		goto out;
 	}
 	out->version = (uint64_t)version;
-	rc = read_entries(a, out, f);
+	read_entries(a, out, f);
+	rc = 0;
 out:
-	if (rc)
-		cg_instance_list_clear(out);
 	json_object_put(o);
 	return rc;
 }
--- a/tests/test_gateway_feed.c
+++ b/tests/test_gateway_feed.c
@@ -21,6 +21,7 @@
 #define GRACE_MS	2200
 #define WAIT_MS		6000
 #define SHORT_OUTAGE_MS 300
+#define DEEP_LEVELS	100
 #define LONG_OUTAGE_MS	(2 * HEARTBEAT_MS + 400)
 
 struct fixture {
@@ -188,12 +189,37 @@
 	teardown(&f);
 }
 
+/* Another writer replaces an entry by one that no parser takes. That server is no
+ * longer used, and the list is still followed. */
+static void unreadable_entry_does_not_stop_the_feed(void **state)
+{
+	GString *deep = g_string_new("0");
+	struct fixture f;
+
+	(void)state;
+	for (int i = 0; i < DEEP_LEVELS; i++) {
+		g_string_prepend(deep, "{\"a\":[");
+		g_string_append(deep, "]}");
+	}
+	setup(&f);
+	objects_put(f.store, "servers", "s1", deep->str);
+	assert_true(run_until(&f, "s1", false) < FOLLOW_MS);
+	put_server(&f, "t0");
+	assert_true(run_until(&f, "t0", true) < FOLLOW_MS);
+	objects_remove(f.store, "servers", "s0");
+	assert_true(run_until(&f, "s0", false) < FOLLOW_MS);
+	assert_true(in_force(&f, "s2"));
+	teardown(&f);
+	g_string_free(deep, TRUE);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(one_failed_call_keeps_no_removed_server),
 		cmocka_unit_test(
 			entries_that_expired_in_an_outage_are_kept_for_a_while),
+		cmocka_unit_test(unreadable_entry_does_not_stop_the_feed),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_platform_format.c
+++ b/tests/test_platform_format.c
@@ -159,6 +159,10 @@
 
 /* Other programs may write invalid entries. Each is skipped, and the valid ones
  * are still used. */
+#define WITH_PORT_AND_SLOTS(port, slots)                                       \
+	"{\"service\":\"s\",\"addr\":\"10.0.0.1:" port                         \
+	"\",\"zone\":\"z\",\"max_concurrency\":" slots ",\"state\":\"ready\"}"
+
 static void invalid_servers_are_skipped_and_counted(void **state)
 {
 	static const char *const specs[] = {
@@ -179,6 +183,15 @@
 		"\"max_concurrency\":3,\"state\":\"ready\"}",
 		"{\"service\":[\"s\"],\"addr\":\"10.0.0.1:80\",\"zone\":\"z\","
 		"\"max_concurrency\":3,\"state\":\"ready\"}",
+		WITH_PORT_AND_SLOTS("0", "3"),
+		WITH_PORT_AND_SLOTS("-1", "3"),
+		WITH_PORT_AND_SLOTS("65536", "3"),
+		WITH_PORT_AND_SLOTS("80", "18446744073709551616000"),
+		WITH_PORT_AND_SLOTS("80", "9223372036854775807"),
+		WITH_PORT_AND_SLOTS("80", "4294967296"),
+		WITH_PORT_AND_SLOTS("80", "1e999"),
+		WITH_PORT_AND_SLOTS("80", "-1e300"),
+		WITH_PORT_AND_SLOTS("80", "NaN"),
 	};
 
 	(void)state;
@@ -201,6 +214,65 @@
 	}
 }
 
+/* Returns an entry with @len bytes of @spec, within which @repeat pairs of
+ * brackets are nested. The caller frees it. */
+static GString *odd_entry(const char *spec, gssize len, unsigned int repeat)
+{
+	GString *s = g_string_new("{\"metadata\":{\"name\":\"odd\"},\"spec\":");
+
+	for (unsigned int i = 0; i < repeat; i++)
+		g_string_append(s, "{\"a\":[");
+	g_string_append_len(s, spec, len);
+	for (unsigned int i = 0; i < repeat; i++)
+		g_string_append(s, "]}");
+	return g_string_append_c(s, '}');
+}
+
+static void assert_one_server_read(const GString *first, const GString *second)
+{
+	GArray *a = g_array_new(FALSE, TRUE, sizeof(struct cgw_server_facts));
+	GString *text = g_string_new("{\"as_of\":7,\"items\":[");
+	char *after = NULL, *why = NULL;
+	unsigned int bad = 0;
+	uint64_t revision = 0;
+
+	g_string_append_len(text, first->str, (gssize)first->len);
+	g_string_append_c(text, ',');
+	g_string_append_len(text, second->str, (gssize)second->len);
+	g_string_append(text, "],\"has_more\":false}");
+	assert_int_equal(platform_format.read_servers(text->str, text->len, a,
+						      &bad, &after, &revision,
+						      &why),
+			 0);
+	assert_int_equal(a->len, 1);
+	assert_int_equal(bad, 1);
+	assert_int_equal(revision, 7);
+	g_array_unref(a);
+	g_string_free(text, TRUE);
+}
+
+/* Another writer's entry that no parser takes: nested too deeply, not JSON, or
+ * with a byte that ends the text. It made the whole list unreadable, and the
+ * gateway stopped following it. */
+static void unreadable_entry_loses_only_itself(void **state)
+{
+	GString *good = g_string_new(ENTRY("i-1", GOOD));
+	GString *odd[] = {
+		odd_entry("0", 1, 10000),
+		odd_entry("nonsense", 8, 0),
+		odd_entry("{\"a\":[}", 7, 0),
+		odd_entry("{\"a\":\"x\0y\"}", 11, 0),
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(odd); i++) {
+		assert_one_server_read(good, odd[i]);
+		assert_one_server_read(odd[i], good);
+		g_string_free(odd[i], TRUE);
+	}
+	g_string_free(good, TRUE);
+}
+
 static void draining_server_is_marked_as_leaving(void **state)
 {
 	unsigned int bad;
@@ -374,6 +446,7 @@
 			invalid_configurations_are_rejected_with_a_reason),
 		cmocka_unit_test(servers_are_decoded),
 		cmocka_unit_test(invalid_servers_are_skipped_and_counted),
+		cmocka_unit_test(unreadable_entry_loses_only_itself),
 		cmocka_unit_test(draining_server_is_marked_as_leaving),
 		cmocka_unit_test(invalid_lists_are_rejected),
 		cmocka_unit_test(server_events_are_read),
