Heed what servers say of themselves: that they leave or want a rest

Seen: the gateway ignored both.

Change: each daemon records the statement with the process that made it (id and start) and declines grants against it; the broker hears of it with the release of the slot and grants nothing meanwhile. A rested server starts with one request at a time. While all servers of a service rest, callers are refused at once with the shortest remaining time (server_rests).

--- a/include/celeryglade/outcome.h
+++ b/include/celeryglade/outcome.h
@@ -30,6 +30,7 @@
 	X(NO_SERVER, "no_server", 503, true)                                   \
 	X(CONNECT_FAILED, "connect_failed", 502, true)                         \
 	X(SERVER_SHED, "server_shed", 503, true)                               \
+	X(SERVER_RESTS, "server_rests", 503, true)                             \
 	X(DEADLINE_EXCEEDED, "deadline_exceeded", 504, false)                  \
 	X(CONNECTION_LOST, "connection_lost", 502, false)                      \
 	X(RESPONSE_TRUNCATED, "response_truncated", 502, false)                \
--- a/include/gateway/broker.h
+++ b/include/gateway/broker.h
@@ -17,6 +17,7 @@
 #include "celeryglade/clock.h"
 #include "celeryglade/outcome.h"
 #include "gateway/quota.h"
+#include "gateway/server_notice.h"
 
 #define CGW_NAME_MAX 63
 /** Servers that one slot request can exclude. */
@@ -71,6 +72,7 @@
 			char address[CGW_NAME_MAX + 1];
 			cg_ms typical_latency_ms; /**< Of the route. */
 			cg_ms overdue_ms; /**< Overdue from this age on. */
+			int64_t started_wall_ms; /**< Of the server. */
 		} grant;
 		struct {
 			enum cg_reason reason;
@@ -142,6 +144,14 @@
 void cgw_broker_release(struct cgw_broker *b, const char *daemon, uint64_t id,
 			enum cgw_result result, cg_ms elapsed, cg_ms now);
 
+/** Records what a server said of itself to any daemon. It is ignored if the
+ * server is unknown or has started anew since. A server that leaves gets no
+ * grants until its entry shows another start; one that wants a rest gets none
+ * until the rest ends, and then one request at a time until one is served. */
+void cgw_broker_record_notice(struct cgw_broker *b, const char *server,
+			      int64_t started_wall_ms,
+			      const struct cgw_server_notice *said, cg_ms now);
+
 /** A slot that a daemon holds, as reported to a broker that takes over. */
 struct cgw_held_slot {
 	uint64_t id;
--- a/include/gateway/fleet.h
+++ b/include/gateway/fleet.h
@@ -36,6 +36,7 @@
 	 * to; "" if it is with the own domain's broker. */
 	char other_broker_ip[CGW_NAME_MAX + 1];
 	char server[CGW_NAME_MAX + 1]; /**< Server of the granted slot. */
+	int64_t server_started_wall_ms;
 	enum {
 		CGW_SLOT_IDLE,
 		CGW_SLOT_WAITING, /**< For a decision. */
@@ -80,7 +81,8 @@
 void cgw_slot_acquire(struct cgw_fleet *f, struct cgw_slot *s);
 /** Releases a held slot or withdraws a request. Does nothing on an idle
  * slot. */
-void cgw_slot_release(struct cgw_slot *s, enum cgw_result result);
+void cgw_slot_release(struct cgw_slot *s, enum cgw_result result,
+		      const struct cgw_server_notice *said);
 
 struct cgw_broker *cgw_fleet_broker(struct cgw_fleet *f);
 /** Returns whether this daemon follows a broker, possibly its own. */
--- a/include/gateway/store_format.h
+++ b/include/gateway/store_format.h
@@ -33,6 +33,7 @@
 	const char *deadline; /**< Remaining time in milliseconds. */
 	const char *seal; /**< Proves that the server itself responded. */
 	const char *not_run; /**< The server did not run the request. */
+	const char *leaving; /**< "1": the server shuts down. */
 	const char *expected_server; /**< Any other server rejects it. */
 	const char *account;
 };
--- a/src/gateway/broker.c
+++ b/src/gateway/broker.c
@@ -296,6 +296,7 @@
 		  sizeof(d->u.grant.address));
 	d->u.grant.typical_latency_ms = typical;
 	d->u.grant.overdue_ms = overdue;
+	d->u.grant.started_wall_ms = s->facts.started_wall_ms;
 	return g;
 }
 
@@ -354,7 +355,7 @@
 	for (guint i = 0; i < s->servers->len; i++) {
 		struct cgw_server *o = g_ptr_array_index(s->servers, i);
 
-		if (!o->facts.leaving &&
+		if (!o->facts.leaving && o->rest_until <= now &&
 		    cgw_server_trust(o, now) == CGW_TRUST_HEALTHY)
 			n += o->facts.slots;
 	}
@@ -455,6 +456,40 @@
 	return (cg_ms)CLAMP(ms, RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
 }
 
+/* Returns the time until the first of the service's servers wants requests
+ * again, or 0 if not all of those that stay want a rest. */
+static cg_ms shortest_rest(const struct cgw_service *s, cg_ms now)
+{
+	cg_ms shortest = 0;
+
+	for (guint i = 0; i < s->servers->len; i++) {
+		const struct cgw_server *o = g_ptr_array_index(s->servers, i);
+
+		if (o->facts.leaving)
+			continue;
+		if (o->rest_until <= now)
+			return 0;
+		if (!shortest || o->rest_until - now < shortest)
+			shortest = o->rest_until - now;
+	}
+	return shortest;
+}
+
+/* Refuses a request if all servers want a rest for longer than it pays to wait.
+ * Callers come back spread over a while after the rest. */
+static bool refuse_during_rest(struct cgw_broker *b, struct cgw_service *s,
+			       const struct cgw_slot_request *request,
+			       cg_ms now)
+{
+	cg_ms rest = shortest_rest(s, now);
+
+	if (rest <= RETRY_AFTER_MIN_MS)
+		return false;
+	refuse_request(b, request, CG_REASON_SERVER_RESTS,
+		       rest + g_random_int_range(0, RETRY_AFTER_MIN_MS), now);
+	return true;
+}
+
 static void queue_or_refuse(struct cgw_broker *b, struct cgw_service *s,
 			    const struct cgw_slot_request *request, cg_ms now)
 {
@@ -472,6 +507,8 @@
 			       RETRY_AFTER_MIN_MS, now);
 		return;
 	}
+	if (refuse_during_rest(b, s, request, now))
+		return;
 	cgw_route_latency_estimate(b, request->route, request->objective_ms,
 				   &typical, &overdue);
 	expected_wait = (double)typical * (s->waiting_count + 1) /
@@ -669,6 +706,47 @@
 	grant_waiting(b, s, now);
 }
 
+/* Refuses the requests that wait for a service whose servers all want a rest. */
+static void refuse_waiting_during_rest(struct cgw_broker *b,
+				       struct cgw_service *s, cg_ms now)
+{
+	struct cgw_waiter *w, *next;
+
+	cds_list_for_each_entry_safe(w, next, &s->waiting, node) {
+		struct cgw_slot_request request = w->request;
+
+		if (shortest_rest(s, now) <= RETRY_AFTER_MIN_MS)
+			return;
+		end_waiter(b, w);
+		refuse_during_rest(b, s, &request, now);
+	}
+}
+
+void cgw_broker_record_notice(struct cgw_broker *b, const char *server,
+			      int64_t started_wall_ms,
+			      const struct cgw_server_notice *said, cg_ms now)
+{
+	struct cgw_server *s = g_hash_table_lookup(b->servers, server);
+
+	if (!s || s->facts.started_wall_ms != started_wall_ms)
+		return;
+	if (said->leaving && !s->said_leaving) {
+		s->said_leaving = true;
+		s->facts.leaving = true;
+		cg_info("server %s of service %s says that it leaves: it gets "
+			"no new requests, %d in flight",
+			server, s->service->name, (int)s->inflight);
+	}
+	if (said->rest_ms <= 0)
+		return;
+	if (s->rest_until <= now)
+		cg_info("server %s of service %s wants no requests for %d ms",
+			server, s->service->name, (int)said->rest_ms);
+	s->rest_until = MAX(s->rest_until, now + said->rest_ms);
+	s->probation = true;
+	refuse_waiting_during_rest(b, s->service, now);
+}
+
 static void add_held_slot(struct cgw_broker *b, const char *daemon,
 			  const struct cgw_held_slot *h, cg_ms now)
 {
@@ -774,6 +852,8 @@
 	s->probation = false;
 	s->ejected_until = 0;
 	s->full_until = 0;
+	s->rest_until = 0;
+	s->said_leaving = false;
 }
 
 static void update_server(struct cgw_broker *b,
@@ -804,6 +884,7 @@
 			f->id, f->service, (int)s->inflight);
 	s->facts = *f;
 	s->facts.slots = MAX(1, f->slots);
+	s->facts.leaving |= s->said_leaving;
 	s->warmup_until =
 		f->warmup_remaining_ms > 0 ? now + f->warmup_remaining_ms : 0;
 	s->listed = true;
--- a/src/gateway/broker_internal.h
+++ b/src/gateway/broker_internal.h
@@ -68,6 +68,8 @@
 	cg_ms ejected_until; /**< 0 if it is not ejected. */
 	cg_ms readmitted_at; /**< End of the last ejection. */
 	cg_ms full_until; /**< No new requests until then: it shed one. */
+	bool said_leaving; /**< By itself; its entry may not show it. */
+	cg_ms rest_until; /**< It wants no requests until then. */
 	cg_ms warmup_until;
 	cg_ms last_granted_at;
 	bool listed; /**< Found in the list that is being applied. */
--- a/src/gateway/broker_trust.c
+++ b/src/gateway/broker_trust.c
@@ -380,7 +380,7 @@
 
 bool cgw_server_has_room(struct cgw_server *s, cg_ms now)
 {
-	if (s->facts.leaving || s->full_until > now)
+	if (s->facts.leaving || s->full_until > now || s->rest_until > now)
 		return false;
 	if (cgw_server_trust(s, now) != CGW_TRUST_HEALTHY)
 		return s->inflight - s->overdue < 1 &&
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -61,7 +61,7 @@
 	if (a->slot.state == CGW_SLOT_HELD)
 		log_attempt(a, result);
 	cgw_call_cancel(&a->call);
-	cgw_slot_release(&a->slot, result);
+	cgw_slot_release(&a->slot, result, NULL);
 }
 
 static void end_attempts(struct cgw_exchange *x, enum cgw_result result)
@@ -393,6 +393,26 @@
 		     (int)(now - a->slot.granted_at));
 }
 
+/* Reads what the server says of itself with its response. */
+static void read_notice(const struct cgw_attempt *a,
+			struct cgw_server_notice *out)
+{
+	const struct cgw_call *c = &a->call;
+	const char *text;
+
+	memset(out, 0, sizeof(*out));
+	if (c->outcome != CGW_CALL_RESPONDED)
+		return;
+	text = cgw_call_header(c,
+			       a->exchange->gateway->format->headers.leaving);
+	out->leaving = text && !strcmp(text, "1");
+	text = c->status == 503 ? cgw_call_header(c, "Retry-After") : NULL;
+	if (text && cgw_retry_after_parse(text, &out->rest_ms))
+		cg_info("ignored a Retry-After of server %s: it is not a "
+			"number of seconds",
+			a->slot.server);
+}
+
 /* Handles the end of an attempt: responds to the client, waits for the other
  * active attempt (the original or its hedge), requests a slot for a retry, or
  * fails the request if it must not be sent again. */
@@ -401,6 +421,7 @@
 	struct cgw_attempt *a = caa_container_of(c, struct cgw_attempt, call);
 	struct cgw_exchange *x = a->exchange;
 	enum cgw_result result = attempt_result(x, c);
+	struct cgw_server_notice said;
 	bool possibly_ran = result != CGW_RESULT_SHED &&
 			    result != CGW_RESULT_MISPLACED &&
 			    result != CGW_RESULT_UNREACHED;
@@ -408,7 +429,8 @@
 	a->active = false;
 	cgw_timer_cancel(x->gateway->loop, &x->hedge_timer);
 	log_attempt(a, result);
-	cgw_slot_release(&a->slot, result);
+	read_notice(a, &said);
+	cgw_slot_release(&a->slot, result, &said);
 	if (!possibly_ran && result != CGW_RESULT_UNREACHED)
 		x->possible_runs--;
 	if (result == CGW_RESULT_UNREACHED) {
--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -106,6 +106,7 @@
 	f->other_brokers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	f->broker = cgw_broker_new(&bs, cgw_fleet_on_broker_decision, f);
+	f->notices = cgw_server_notices_new();
 	CDS_INIT_LIST_HEAD(&f->slots);
 	f->pending_requests =
 		g_array_new(FALSE, FALSE, sizeof(struct cgw_slot_request));
@@ -137,6 +138,7 @@
 		close(f->io.fd);
 	}
 	cgw_broker_free(f->broker);
+	cgw_server_notices_free(f->notices);
 	g_ptr_array_unref(f->ranking);
 	g_hash_table_unref(f->members);
 	g_hash_table_unref(f->other_brokers);
--- a/src/gateway/fleet_internal.h
+++ b/src/gateway/fleet_internal.h
@@ -163,6 +163,7 @@
 				* leader; 0 for none */
 	cg_ms next_store_read_at; /* by cgw_fleet_check_proof(); 0: none yet */
 	struct cgw_broker *broker;
+	struct cgw_server_notices *notices; /* to this daemon */
 	bool servers_fresh; /* list read since this daemon leads */
 	bool decision_made; /* the broker decided during the submission */
 	/* struct cgw_slot_request that wait for the list of servers */
--- a/src/gateway/fleet_slots.c
+++ b/src/gateway/fleet_slots.c
@@ -162,8 +162,34 @@
 	dispatch_slot_request(s);
 }
 
+static const struct cgw_server_notice no_notice;
+
+static void fill_notice(fleet_release *r, const char *server,
+			int64_t started_wall_ms,
+			const struct cgw_server_notice *said)
+{
+	r->server = (char *)server;
+	r->started_wall_ms = (u_quad_t)started_wall_ms;
+	r->rest_ms = (u_int)said->rest_ms;
+	r->leaving = said->leaving;
+}
+
+/* The notice comes first, so that the released slot is not granted again. */
+static void release_at_own_broker(struct cgw_slot *s, enum cgw_result result,
+				  cg_ms elapsed,
+				  const struct cgw_server_notice *said)
+{
+	struct cgw_broker *b = s->fleet->broker;
+	cg_ms now = cgw_loop_now(s->fleet->loop);
+
+	cgw_broker_record_notice(b, s->server, s->server_started_wall_ms, said,
+				 now);
+	cgw_broker_release(b, s->request.daemon, s->request.id, result, elapsed,
+			   now);
+}
+
 static void send_release(struct cgw_slot *s, enum cgw_result result,
-			 cg_ms elapsed)
+			 cg_ms elapsed, const struct cgw_server_notice *said)
 {
 	struct cgw_fleet *f = s->fleet;
 	struct cgw_member *m = cgw_fleet_member(f, s->broker);
@@ -173,14 +199,15 @@
 	b.fleet_body_u.release.id = s->request.id;
 	b.fleet_body_u.release.result = (int)result;
 	b.fleet_body_u.release.elapsed_ms = (u_int)elapsed;
+	fill_notice(&b.fleet_body_u.release, s->server,
+		    s->server_started_wall_ms, said);
 	if (*s->other_broker_ip &&
 	    inet_pton(AF_INET, s->other_broker_ip, &ip) == 1)
 		cgw_fleet_send(f, ip, &b);
 	else if (m)
 		cgw_fleet_send(f, m->ip, &b);
 	else
-		cgw_broker_release(f->broker, s->request.daemon, s->request.id,
-				   result, elapsed, cgw_loop_now(f->loop));
+		release_at_own_broker(s, result, elapsed, said);
 }
 
 static void end_slot(struct cgw_slot *s)
@@ -190,16 +217,23 @@
 	s->state = CGW_SLOT_IDLE;
 }
 
-void cgw_slot_release(struct cgw_slot *s, enum cgw_result result)
+void cgw_slot_release(struct cgw_slot *s, enum cgw_result result,
+		      const struct cgw_server_notice *said)
 {
 	cg_ms elapsed = 0;
 
+	if (!said)
+		said = &no_notice;
+
 	if (s->state == CGW_SLOT_IDLE)
 		return;
 	if (s->state == CGW_SLOT_HELD)
 		elapsed = cgw_loop_now(s->fleet->loop) - s->granted_at;
 	end_slot(s);
-	send_release(s, result, elapsed);
+	cgw_server_notices_record(s->fleet->notices, s->server,
+				  s->server_started_wall_ms, said,
+				  cgw_loop_now(s->fleet->loop));
+	send_release(s, result, elapsed, said);
 }
 
 static struct cgw_slot *find_slot(struct cgw_fleet *f, uint64_t id)
@@ -218,9 +252,33 @@
 
 	b.fleet_body_u.release.id = id;
 	b.fleet_body_u.release.result = CGW_RESULT_UNUSED;
+	b.fleet_body_u.release.server = (char *)"";
 	cgw_fleet_send(f, to, &b);
 }
 
+/* The broker does not know what the server said to this daemon. Returns the slot
+ * with that and requests another one. */
+static void decline_grant(struct cgw_slot *s,
+			  const struct cgw_server_notice *said)
+{
+	struct cgw_fleet *f = s->fleet;
+	struct cgw_slot_request *q = &s->request;
+
+	send_release(s, CGW_RESULT_UNUSED, 0, said);
+	if (q->avoid_count < CGW_AVOID_MAX)
+		g_strlcpy(q->avoid[q->avoid_count++], s->server,
+			  sizeof(q->avoid[0]));
+	s->state = CGW_SLOT_WAITING;
+	q->id = f->next_id++;
+	if (*s->other_broker_ip) {
+		return_to_own_domain(s);
+		return;
+	}
+	s->requested_at = cgw_loop_now(f->loop);
+	s->waiting_reported_at = 0;
+	dispatch_slot_request(s);
+}
+
 /* Handles a broker's decision on a slot request of this daemon. @from is the
  * broker that sent it, NULL for the broker in this process. A redirected
  * request is sent to the broker of the other domain. If that broker refuses it
@@ -230,6 +288,7 @@
 			    const char *redirect_ip, const struct in_addr *from)
 {
 	struct cgw_slot *s = find_slot(f, d->id);
+	struct cgw_server_notice said;
 	struct other_broker *o;
 
 	if (!s || s->state != CGW_SLOT_WAITING) {
@@ -248,6 +307,13 @@
 		s->granted_at = cgw_loop_now(f->loop);
 		s->request.charged = true;
 		g_strlcpy(s->server, d->u.grant.server, sizeof(s->server));
+		s->server_started_wall_ms = d->u.grant.started_wall_ms;
+		if (cgw_server_notices_find(f->notices, s->server,
+					    s->server_started_wall_ms,
+					    s->granted_at, &said)) {
+			decline_grant(s, &said);
+			return;
+		}
 		s->decided(s, d);
 		return;
 	case CGW_DECISION_REFUSED:
@@ -307,6 +373,7 @@
 			.typical_latency_ms =
 				(u_int)d->u.grant.typical_latency_ms,
 			.overdue_ms = (u_int)d->u.grant.overdue_ms,
+			.started_wall_ms = (u_quad_t)d->u.grant.started_wall_ms,
 		};
 		break;
 	case CGW_DECISION_REFUSED:
@@ -420,6 +487,7 @@
 			  sizeof(d.u.grant.address));
 		d.u.grant.typical_latency_ms = g->typical_latency_ms;
 		d.u.grant.overdue_ms = g->overdue_ms;
+		d.u.grant.started_wall_ms = (int64_t)g->started_wall_ms;
 	} else if (b->kind == FLEET_REFUSAL) {
 		const fleet_refusal *r = &b->fleet_body_u.refusal;
 
@@ -444,11 +512,17 @@
 void cgw_fleet_handle_release(struct cgw_fleet *f, struct cgw_member *m,
 			      const fleet_release *r)
 {
+	struct cgw_server_notice said = { .leaving = r->leaving,
+					  .rest_ms = r->rest_ms };
+
 	if (r->result < 0 || r->result >= CGW_RESULT_COUNT) {
 		cg_warning("release from %s with unknown result %d", m->name,
 			   r->result);
 		return;
 	}
+	cgw_broker_record_notice(f->broker, r->server,
+				 (int64_t)r->started_wall_ms, &said,
+				 cgw_loop_now(f->loop));
 	cgw_broker_release(f->broker, m->name, r->id,
 			   (enum cgw_result)r->result, r->elapsed_ms,
 			   cgw_loop_now(f->loop));
--- a/src/rpc/fleet_wire.x
+++ b/src/rpc/fleet_wire.x
@@ -1,4 +1,4 @@
-/* Fields marked "since version 2" end their message. An older daemon ignores
+/* Fields marked "since version" end their message. An older daemon ignores
  * them, and a message of one is read as if they were 0 or empty. */
 
 /* Datagrams between the daemons of a fleet: liveness and choice of the broker
@@ -76,6 +76,8 @@
 	fleet_name address;
 	unsigned int typical_latency_ms;
 	unsigned int overdue_ms;
+	/* Since version 3: */
+	unsigned hyper started_wall_ms; /* of the server */
 };
 
 struct fleet_refusal {
@@ -100,6 +102,11 @@
 	unsigned hyper id;
 	int result; /* enum cgw_result */
 	unsigned int elapsed_ms;
+	/* Since version 3: what the server said of itself. */
+	fleet_name server;
+	unsigned hyper started_wall_ms; /* of the server */
+	unsigned int rest_ms; /* time for which it wants no requests */
+	bool leaving;
 };
 
 struct fleet_account_demand {
--- a/src/rpc/gen/fleet_wire.h
+++ b/src/rpc/gen/fleet_wire.h
@@ -82,6 +82,7 @@
 	fleet_name address;
 	u_int typical_latency_ms;
 	u_int overdue_ms;
+	u_quad_t started_wall_ms;
 };
 typedef struct fleet_grant fleet_grant;
 
@@ -108,6 +109,10 @@
 	u_quad_t id;
 	int result;
 	u_int elapsed_ms;
+	fleet_name server;
+	u_quad_t started_wall_ms;
+	u_int rest_ms;
+	bool_t leaving;
 };
 typedef struct fleet_release fleet_release;
 
--- a/src/rpc/gen/fleet_wire_xdr.c
+++ b/src/rpc/gen/fleet_wire_xdr.c
@@ -242,6 +242,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->overdue_ms))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->started_wall_ms))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -294,6 +296,14 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->elapsed_ms))
 		 return FALSE;
+	 if (!xdr_fleet_name (xdrs, &objp->server))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->started_wall_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->rest_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->leaving))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/tests/support/scripted_server.c
+++ b/tests/support/scripted_server.c
@@ -156,7 +156,8 @@
 static bool may_not_run(int mode)
 {
 	return mode == SCRIPTED_SHED || mode == SCRIPTED_MISPLACED ||
-	       mode == SCRIPTED_SHED_COPY || mode == SCRIPTED_STRAY_SHED ||
+	       mode == SCRIPTED_REST || mode == SCRIPTED_SHED_COPY ||
+	       mode == SCRIPTED_STRAY_SHED ||
 	       mode == SCRIPTED_SHED_WITHOUT_ID ||
 	       mode == SCRIPTED_SHED_COPY_WITH_ID;
 }
@@ -257,6 +258,17 @@
 		g_free(text);
 		g_strfreev(parts);
 		return false;
+	case SCRIPTED_LEAVING:
+		send_response(p->fd, 200, id,
+			      "X-Response-Seal: s\r\nServer-Leaving: 1\r\n",
+			      true, RESPONSE_BODY);
+		return true;
+	case SCRIPTED_REST:
+		text = g_strdup_printf("X-Not-Run: 1\r\nRetry-After: %s\r\n",
+				       p->server->retry_after);
+		send_response(p->fd, 503, id, text, true, RESPONSE_BODY);
+		g_free(text);
+		return true;
 	case SCRIPTED_BUSY:
 		send_response(p->fd, 503, id, seal, true, RESPONSE_BODY);
 		return true;
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -48,6 +48,10 @@
 	/** Sends the first cut_at bytes of cut_text, "@" being the id of the
 	 * request, and closes. */
 	SCRIPTED_CUT,
+	/** Responds 200 with "Server-Leaving: 1". */
+	SCRIPTED_LEAVING,
+	/** Responds 503 with X-Not-Run and the Retry-After retry_after. */
+	SCRIPTED_REST,
 	/** Runs the request, responds 503 (429, 408) without X-Not-Run. */
 	SCRIPTED_BUSY,
 	SCRIPTED_LIMITED,
@@ -73,6 +77,7 @@
 	_Atomic int delay_ms;
 	const char *_Atomic cut_text;
 	_Atomic int cut_at;
+	const char *_Atomic retry_after;
 	_Atomic int connections; /**< Connections accepted so far. */
 	_Atomic int requests; /**< Requests read so far. */
 	/** Bytes sent without end, at all connections together. */
