Take as many connections as the descriptors of the process allow

Cause: ingress.c set no limit of connections, and libmicrohttpd's own is 1,020.

Near the limit the longest idle connection is closed for each new one; if too many are busy the daemon is not ready. Two metrics show count and limit.

--- a/include/gateway/gateway_settings.h
+++ b/include/gateway/gateway_settings.h
@@ -37,6 +37,8 @@
 	cg_ms config_bound_ms;
 	/** Interval at which servers renew their entries in the store. */
 	cg_ms server_heartbeat_ms;
+	/** Descriptors that the process may use, if its own limit allows. */
+	int64_t descriptors_max;
 	double cpu_share; /**< Cores that this process may use; 0: unknown. */
 	double link_mbps; /**< Bandwidth of this machine; 0: unknown. */
 	/** Longest body of a backend server's response, and of all that are
--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -28,6 +28,7 @@
 	"log_level",
 	"config_bound_ms",
 	"server_heartbeat_ms",
+	"descriptors_max",
 	"cpu_share",
 	"link_mbps",
 	"response_max_bytes",
@@ -125,6 +126,8 @@
 	rc |= get_fraction(o, "min_share", 1, &s->min_share, f);
 	rc |= get_number(o, "config_bound_ms", 100, 3600000,
 			 &s->config_bound_ms, f);
+	rc |= get_number(o, "descriptors_max", 512, 1 << 20,
+			 &s->descriptors_max, f);
 	rc |= get_number(o, "server_heartbeat_ms", 100, 3600000,
 			 &s->server_heartbeat_ms, f);
 	rc |= get_number(o, "response_max_bytes", 1024, G_MAXINT,
@@ -153,6 +156,7 @@
 	s->min_share = 0.7;
 	s->config_bound_ms = 2000;
 	s->server_heartbeat_ms = 1500;
+	s->descriptors_max = 65536;
 	s->response_max_bytes = 16 * 1024 * 1024;
 	s->responses_max_bytes = 48 * 1024 * 1024;
 	s->grace_ms = 6000;
--- a/src/gateway/ingress.c
+++ b/src/gateway/ingress.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -28,6 +29,15 @@
  * longer. */
 #define PIPELINED_MS 3
 #define BEARER	     "Bearer "
+/* Descriptors of the process that are not for callers: a share for connections
+ * to servers, which grow with the requests in progress, and a fixed number for
+ * the store, the other daemons and files. */
+#define DESCRIPTORS_SERVER_SHARE 8
+#define DESCRIPTORS_OTHER	 200
+#define CALLERS_MIN		 64
+/* Below the limit by this share, the longest idle connection is closed for each
+ * new one. With twice the share of busy ones the daemon is not ready. */
+#define CALLERS_MARGIN_SHARE 16
 
 struct cgw_ingress {
 	struct cgw_gateway *gateway;
@@ -36,7 +46,10 @@
 	struct cgw_http_server metrics;
 	struct cgw_timer housekeeping;
 	struct cgw_timer run_soon; /* runs the callers' server again */
-	struct cds_list_head connections; /* struct connection */
+	struct cds_list_head connections; /* struct connection, idle longest
+					   * first */
+	unsigned int connection_count;
+	unsigned int connection_limit;
 };
 
 /* A caller's connection. libmicrohttpd does not watch a connection while its
@@ -93,6 +106,41 @@
 	c->incomplete = NULL;
 }
 
+/* Returns the number of connections that is @parts parts of the margin below the
+ * limit. */
+static unsigned int callers_margin(const struct cgw_ingress *in,
+				   unsigned int parts)
+{
+	return in->connection_limit -
+	       in->connection_limit * parts / CALLERS_MARGIN_SHARE;
+}
+
+static bool is_idle(const struct connection *c)
+{
+	return !c->exchange && !c->incomplete && !c->closing;
+}
+
+static void close_connection(struct connection *c)
+{
+	c->closing = true;
+	shutdown(c->io.fd, SHUT_RDWR);
+}
+
+/* The newest connection is not looked at: its request is on the way. */
+static void close_longest_idle(struct cgw_ingress *in)
+{
+	struct connection *c;
+
+	cds_list_for_each_entry(c, &in->connections, node) {
+		if (c->node.next == &in->connections)
+			return;
+		if (!is_idle(c))
+			continue;
+		close_connection(c);
+		return;
+	}
+}
+
 static void on_connection(void *cls, struct MHD_Connection *mhd, void **context,
 			  enum MHD_ConnectionNotificationCode code)
 {
@@ -107,6 +155,7 @@
 		free_incomplete(c);
 		cgw_loop_del(l, &c->io);
 		cds_list_del(&c->node);
+		in->connection_count--;
 		g_free(c);
 		*context = NULL;
 		return;
@@ -118,6 +167,9 @@
 	c->io.fd = info->connect_fd;
 	c->io.ready = on_caller_event;
 	cds_list_add_tail(&c->node, &in->connections);
+	in->connection_count++;
+	if (in->connection_count > callers_margin(in, 1))
+		close_longest_idle(in);
 	if (cgw_loop_add(l, &c->io, EPOLLIN | EPOLLRDHUP | EPOLLET))
 		cg_warning("cannot watch a caller's connection; its disconnect "
 			   "will not be noticed");
@@ -388,6 +440,8 @@
 		c->incomplete = NULL;
 	if (c->exchange == x) {
 		c->exchange = NULL;
+		cds_list_del(&c->node);
+		cds_list_add_tail(&c->node, &c->ingress->connections);
 		c->last_completed_at = cgw_loop_now(c->ingress->gateway->loop);
 	}
 	cgw_exchange_free(x);
@@ -396,6 +450,19 @@
 
 /* ---- readiness and metrics ---- */
 
+/* Counts the connections that cannot be closed for new ones. */
+static unsigned int count_busy(const struct cgw_ingress *in)
+{
+	const struct connection *c;
+	unsigned int n = 0;
+
+	if (in->connection_count <= callers_margin(in, 2))
+		return in->connection_count;
+	cds_list_for_each_entry(c, &in->connections, node)
+		n += !is_idle(c);
+	return n;
+}
+
 static enum MHD_Result handle_ready(void *cls, struct MHD_Connection *mhd,
 				    const char *url, const char *method,
 				    const char *version, const char *data,
@@ -404,6 +471,9 @@
 	struct cgw_ingress *in = cls;
 	const char *why = cgw_gateway_unready_reason(in->gateway);
 
+	if (!why && count_busy(in) > callers_margin(in, 2))
+		why = "too many connections";
+
 	(void)url;
 	(void)method;
 	(void)version;
@@ -448,6 +518,8 @@
 		   cgw_broker_ejections(cgw_fleet_broker(g->fleet)));
 	add_metric(s, "log_lines_dropped", cgw_log_dropped());
 	add_metric(s, "requests_running", g->running_requests);
+	add_metric(s, "caller_connections", in->connection_count);
+	add_metric(s, "caller_connection_limit", in->connection_limit);
 	rc = cg_http_respond_text(mhd, 200, s->str);
 	g_string_free(s, TRUE);
 	return rc;
@@ -455,6 +527,27 @@
 
 /* ---- set-up ---- */
 
+/* Raises the limit of descriptors as far as the process may, and returns how many
+ * connections of callers fit. */
+static unsigned int find_connection_limit(rlim_t most)
+{
+	struct rlimit r;
+	rlim_t n;
+
+	if (getrlimit(RLIMIT_NOFILE, &r))
+		return CALLERS_MIN;
+	n = MIN(r.rlim_max, most);
+	if (r.rlim_cur < n) {
+		r.rlim_cur = n;
+		if (setrlimit(RLIMIT_NOFILE, &r) &&
+		    getrlimit(RLIMIT_NOFILE, &r))
+			return CALLERS_MIN;
+	}
+	n = MIN(r.rlim_cur, most);
+	n -= MIN(n, n / DESCRIPTORS_SERVER_SHARE + DESCRIPTORS_OTHER);
+	return (unsigned int)MAX(n, (rlim_t)CALLERS_MIN);
+}
+
 static int start_callers(struct cgw_ingress *in, const char *address)
 {
 	struct sockaddr_in sa;
@@ -471,6 +564,7 @@
 		MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)IDLE_TIMEOUT_S,
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
 		MHD_OPTION_LISTEN_BACKLOG_SIZE, (unsigned int)1024,
+		MHD_OPTION_CONNECTION_LIMIT, in->connection_limit,
 		MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
 	return cgw_http_server_watch(&in->callers, in->gateway->loop);
 }
@@ -498,6 +592,9 @@
 	struct sockaddr_in sa;
 
 	in->gateway = g;
+	in->connection_limit =
+		find_connection_limit((rlim_t)g->settings.descriptors_max);
+	cg_info("takes up to %u connections of callers", in->connection_limit);
 	CDS_INIT_LIST_HEAD(&in->connections);
 	in->housekeeping.fire = on_housekeeping;
 	in->run_soon.fire = on_run_soon;
@@ -563,10 +660,8 @@
 	struct connection *c;
 
 	cds_list_for_each_entry(c, &in->connections, node) {
-		if (c->exchange || c->closing)
-			continue;
-		c->closing = true;
-		shutdown(c->io.fd, SHUT_RDWR);
+		if (!c->exchange && !c->closing)
+			close_connection(c);
 	}
 }
 
--- a/tests/support/gateway_fleet.c
+++ b/tests/support/gateway_fleet.c
@@ -16,6 +16,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -80,6 +81,12 @@
 
 		/* A failing test exits without gf_stop(). */
 		prctl(PR_SET_PDEATHSIG, SIGKILL);
+		if (f->descriptors[i]) {
+			struct rlimit r = { f->descriptors[i],
+					    f->descriptors[i] };
+
+			setrlimit(RLIMIT_NOFILE, &r);
+		}
 		dup2(fd, STDOUT_FILENO);
 		dup2(fd, STDERR_FILENO);
 		setenv("CELERYGLADE_SETTINGS", path, 1);
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -24,6 +24,9 @@
 	unsigned int version; /**< Of the last configuration written. */
 	/** Settings of the daemons from their next start on; 0: left out. */
 	double cpu_share[GF_DAEMONS];
+	/** Limit of a daemon's descriptors from its next start on; 0: the
+	 * test's own. */
+	unsigned int descriptors[GF_DAEMONS];
 };
 
 /** The response to a caller. */
--- a/tests/test_gateway_settings.c
+++ b/tests/test_gateway_settings.c
@@ -44,6 +44,7 @@
 	assert_int_equal(s.key_proof_ms, 5000);
 	assert_int_equal(s.grace_ms, 6000);
 	assert_int_equal(s.server_heartbeat_ms, 1500);
+	assert_int_equal(s.descriptors_max, 65536);
 	assert_string_equal(s.log_level, "info");
 	cgw_settings_clear(&s);
 }
--- a/tests/test_system_ingress.c
+++ b/tests/test_system_ingress.c
@@ -10,6 +10,8 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -19,10 +21,13 @@
 #define WORK_MS 1500
 #define WITHIN_HEAD                                                            \
 	"GET /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: c\r\n"
-#define HEAD_STOP_MS  2800 /* idle connections are closed 2.6 s after SIGTERM */
-#define ANSWER_MS     6000
-#define LONG_HEADER   16000
-#define SHORT_HEADERS 800
+#define HEAD_STOP_MS	2800 /* idle connections are closed 2.6 s after SIGTERM */
+#define ANSWER_MS	6000
+#define LONG_HEADER	16000
+#define SHORT_HEADERS	800
+#define CONNECTIONS	3000
+#define FEW_DESCRIPTORS 512
+#define FEW_CONNECTIONS 600
 
 static void sleep_ms(unsigned int ms)
 {
@@ -163,6 +168,74 @@
 	gf_stop(&f);
 }
 
+/* libmicrohttpd takes 1,020 connections unless it is told otherwise. Further ones
+ * were neither accepted nor refused, though the daemon said that it is ready. */
+static void many_connections_are_all_served(void **state)
+{
+	struct rlimit r;
+	struct gateway_fleet f;
+	int *fds = g_new(int, CONNECTIONS);
+
+	(void)state;
+	assert_int_equal(getrlimit(RLIMIT_NOFILE, &r), 0);
+	assert_true(r.rlim_max >= 2 * CONNECTIONS);
+	r.rlim_cur = r.rlim_max;
+	assert_int_equal(setrlimit(RLIMIT_NOFILE, &r), 0);
+	start(&f, 0);
+	for (int i = 0; i < CONNECTIONS; i++)
+		fds[i] = gf_send_raw(&f, 0, "");
+	assert_int_equal(gf_ready_status(&f, 0), 200);
+	for (int i = 0; i < CONNECTIONS; i += CONNECTIONS / 50) {
+		static const char request[] =
+			"GET /safe/x HTTP/1.1\r\nHost: h.example\r\n"
+			"X-Request-Id: m\r\nAuthorization: Bearer k1\r\n\r\n";
+		char *text;
+
+		assert_int_equal(
+			send(fds[i], request, strlen(request), MSG_NOSIGNAL),
+			strlen(request));
+		text = gf_read_responses(fds[i], 1, ANSWER_MS);
+		assert_non_null(strstr(text, "HTTP/1.1 200 "));
+		g_free(text);
+	}
+	for (int i = 0; i < CONNECTIONS; i++)
+		close(fds[i]);
+	g_free(fds);
+	gf_stop(&f);
+}
+
+/* A daemon with few descriptors closes idle connections for new ones. */
+static void new_connections_replace_idle_ones(void **state)
+{
+	struct gateway_fleet f;
+	int fds[FEW_CONNECTIONS];
+	int served = 0;
+
+	(void)state;
+	start(&f, 0);
+	kill(f.pids[1], SIGKILL);
+	waitpid(f.pids[1], NULL, 0);
+	f.descriptors[1] = FEW_DESCRIPTORS;
+	gf_start_daemon(&f, 1);
+	gf_wait_ready(&f);
+	for (int i = 0; i < FEW_CONNECTIONS; i++) {
+		char *text;
+
+		fds[i] = gf_send_raw(&f, 1,
+				     "GET /safe/x HTTP/1.1\r\nHost: h.example"
+				     "\r\nX-Request-Id: n\r\nAuthorization: "
+				     "Bearer k1\r\n\r\n");
+		text = gf_read_responses(fds[i], 1, ANSWER_MS);
+		served += strstr(text, "HTTP/1.1 200 ") != NULL;
+		g_free(text);
+	}
+	assert_int_equal(served, FEW_CONNECTIONS);
+	assert_int_equal(gf_ready_status(&f, 1), 200);
+	for (int i = 0; i < FEW_CONNECTIONS; i++)
+		close(fds[i]);
+	gf_stop(&f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -170,6 +243,8 @@
 		cmocka_unit_test(
 			stop_with_a_caller_within_a_head_cuts_no_request),
 		cmocka_unit_test(refused_heads_end_no_process),
+		cmocka_unit_test(many_connections_are_all_served),
+		cmocka_unit_test(new_connections_replace_idle_ones),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
