Identify accounts with long names by a digest

Seen: an account whose name has 64 bytes or more had no limit, and no heartbeat that named it could be sent to other domains.

Cause: request_slot() cut the name to 63 bytes; the broker does not know the cut name, and unknown accounts have no limit.

Change: an account has a key, its name or a digest of it, which is used in messages and rates.

Evidence: accounts_with_long_names_have_their_own_limits; it uses the new key and has no run before.

--- a/include/gateway/table.h
+++ b/include/gateway/table.h
@@ -44,8 +44,14 @@
 	int64_t weight_sum;
 };
 
+/** Longest key of an account, in bytes. */
+#define CGW_ACCOUNT_KEY_MAX 63
+
 struct cgw_account {
-	char *name;
+	char *name; /**< Of any length. */
+	/** Identifies the account in messages and rates: its name, or a digest
+	 * of it if the name is longer than CGW_ACCOUNT_KEY_MAX. */
+	char *key;
 	int64_t priority; /**< -1 to use the route's priority. */
 	int64_t rate_milli; /**< Thousandths of a request per second; 0 for no
 			     * limit. */
@@ -87,14 +93,14 @@
 /** Returns the account that the API key belongs to, or NULL. */
 const struct cgw_account *
 cgw_table_find_account_by_key(const struct cgw_table *t, const char *key);
-/** Returns the account with this name, or NULL. */
+/** Returns the account with this key, or NULL. */
 const struct cgw_account *cgw_table_find_account(const struct cgw_table *t,
 						 const char *name);
 bool cgw_table_has_service(const struct cgw_table *t, const char *name);
 /** Returns whether any account exists. Without accounts no route needs an API
  * key. */
 bool cgw_table_has_accounts(const struct cgw_table *t);
-/** Returns the accounts by name; owned by the table. */
+/** Returns the accounts by key; owned by the table. */
 GHashTable *cgw_table_accounts(const struct cgw_table *t);
 size_t cgw_table_route_count(const struct cgw_table *t);
 
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -582,7 +582,7 @@
 	memset(q, 0, sizeof(*q));
 	g_strlcpy(q->service, x->service, sizeof(q->service));
 	g_strlcpy(q->route, x->route->name, sizeof(q->route));
-	g_strlcpy(q->account, acc ? acc->name : "", sizeof(q->account));
+	g_strlcpy(q->account, acc ? acc->key : "", sizeof(q->account));
 	q->idempotent = x->route->idempotent;
 	q->retry = retry;
 	q->charged = x->attempt_count > 0 && !retry;
--- a/src/gateway/table.c
+++ b/src/gateway/table.c
@@ -13,7 +13,7 @@
 	uint64_t version;
 	struct cgw_caller_limits limits;
 	GHashTable *routes; /* "host prefix" to struct cgw_route */
-	GHashTable *accounts; /* name to struct cgw_account */
+	GHashTable *accounts; /* key to struct cgw_account */
 	GHashTable *keys; /* struct digest to struct cgw_account, not owned */
 	GHashTable *services; /* name to health path */
 };
@@ -52,6 +52,7 @@
 	struct cgw_account *a = p;
 
 	g_free(a->name);
+	g_free(a->key);
 	g_free(a);
 }
 
@@ -138,13 +139,29 @@
 	r->weight_sum += weight;
 }
 
+/* A name that was cut would be another account's, or nobody's. */
+static char *account_key(const char *name)
+{
+	char *digest, *key;
+
+	if (strlen(name) <= CGW_ACCOUNT_KEY_MAX)
+		return g_strdup(name);
+	digest = g_compute_checksum_for_string(G_CHECKSUM_SHA256, name, -1);
+	key = g_strdup_printf("sha256:%.*s",
+			      CGW_ACCOUNT_KEY_MAX - (int)strlen("sha256:"),
+			      digest);
+	g_free(digest);
+	return key;
+}
+
 struct cgw_account *cgw_table_add_account(struct cgw_table *t, const char *name)
 {
 	struct cgw_account *a = g_new0(struct cgw_account, 1);
 
 	a->name = g_strdup(name);
+	a->key = account_key(name);
 	a->priority = -1;
-	g_hash_table_replace(t->accounts, a->name, a);
+	g_hash_table_replace(t->accounts, a->key, a);
 	return a;
 }
 
--- a/tests/test_gateway_quota.c
+++ b/tests/test_gateway_quota.c
@@ -291,10 +291,50 @@
 	cgw_quota_free(q);
 }
 
+/* An account whose name is longer than the field that carries it had no limit:
+ * the cut name was unknown, and unknown accounts have none. */
+static void accounts_with_long_names_have_their_own_limits(void **state)
+{
+	struct cgw_table *t = cgw_table_new(1);
+	struct cgw_quota *q = cgw_quota_new(1);
+	const struct cgw_account *found[3];
+	cg_ms retry_after;
+
+	(void)state;
+	for (int i = 0; i < 3; i++) {
+		char *name = g_strnfill(CGW_ACCOUNT_KEY_MAX + (gsize)i, 'n');
+		struct cgw_account *a = cgw_table_add_account(t, name);
+		char key[8];
+
+		a->rate_milli = 1000;
+		a->burst_milli = 1000;
+		g_snprintf(key, sizeof(key), "k%d", i);
+		cgw_table_add_key(t, a, key);
+		found[i] = cgw_table_find_account_by_key(t, key);
+		assert_string_equal(found[i]->name, name);
+		assert_true(strlen(found[i]->key) <= CGW_ACCOUNT_KEY_MAX);
+		g_free(name);
+	}
+	assert_string_not_equal(found[1]->key, found[2]->key);
+	cgw_quota_configure(q, t, 0);
+	for (int i = 0; i < 3; i++) {
+		int admitted = 0;
+
+		for (int n = 0; n < 50; n++)
+			admitted += cgw_quota_admit(q, found[i]->key, 0,
+						    &retry_after);
+		assert_in_range(admitted, 1, 5);
+	}
+	cgw_quota_free(q);
+	cgw_table_unref(t);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(account_within_its_rate_is_never_refused),
+		cmocka_unit_test(
+			accounts_with_long_names_have_their_own_limits),
 		cmocka_unit_test(hot_account_is_limited_to_its_rate),
 		cmocka_unit_test(share_follows_moved_demand),
 		cmocka_unit_test(cut_off_domain_stays_within_the_limit),
