Share no json-c tree between the threads of the object store stand-in

Cause: json-c counts references without atomic operations.

Change: objects are copied into and out of the store, and into the list of instances.

--- a/standins/support/instances.c
+++ b/standins/support/instances.c
@@ -57,16 +57,22 @@
 static int add_entry(struct sh_list *l, struct json_object *e)
 {
 	const char *name = sh_get_string(e, "name");
+	struct json_object *copy = NULL;
 
 	if (!name)
 		return -1;
-	json_object_object_del(e, "op");
-	if (!json_object_object_get_ex(e, "state", NULL))
-		json_object_object_add(e, "state",
+	/* The caller frees its tree outside the lock of the list, and json-c
+	 * counts references without atomic operations. */
+	if (json_object_deep_copy(e, &copy, NULL))
+		return -1;
+	json_object_object_del(copy, "op");
+	if (!json_object_object_get_ex(copy, "state", NULL))
+		json_object_object_add(copy, "state",
 				       json_object_new_string("live"));
-	if (!json_object_object_get_ex(e, "started", NULL))
-		json_object_object_add(e, "started", json_object_new_int64(1));
-	json_object_object_add(l->entries, name, json_object_get(e));
+	if (!json_object_object_get_ex(copy, "started", NULL))
+		json_object_object_add(copy, "started",
+				       json_object_new_int64(1));
+	json_object_object_add(l->entries, name, copy);
 	return 0;
 }
 
--- a/standins/support/object_store.c
+++ b/standins/support/object_store.c
@@ -1,5 +1,6 @@
 #include "object_store.h"
 
+#include <errno.h>
 #include <json-c/json.h>
 #include <microhttpd.h>
 #include <stdlib.h>
@@ -86,6 +87,18 @@
 	return NULL;
 }
 
+/* json-c counts references without atomic operations, so that no part of an
+ * entry may be shared with a tree that is freed outside the lock. */
+static struct json_object *copy_json(struct json_object *value)
+{
+	struct json_object *out = NULL;
+
+	if (value && json_object_deep_copy(value, &out, NULL))
+		g_error("object store: copying an object: %s",
+			g_strerror(errno));
+	return out;
+}
+
 static struct json_object *entry_to_json(const struct entry *e)
 {
 	struct json_object *out = json_object_new_object();
@@ -96,13 +109,12 @@
 			       json_object_new_int64((int64_t)e->rev));
 	json_object_object_add(meta, "created",
 			       json_object_new_int64((int64_t)e->created));
-	json_object_object_add(meta, "finalizers",
-			       json_object_get(e->finalizers));
+	json_object_object_add(meta, "finalizers", copy_json(e->finalizers));
 	json_object_object_add(meta, "deleting",
 			       json_object_new_boolean(e->deleting));
 	json_object_object_add(out, "metadata", meta);
-	json_object_object_add(out, "spec", json_object_get(e->spec));
-	json_object_object_add(out, "status", json_object_get(e->status));
+	json_object_object_add(out, "spec", copy_json(e->spec));
+	json_object_object_add(out, "status", copy_json(e->status));
 	return out;
 }
 
@@ -151,7 +163,7 @@
 static void replace_json(struct json_object **to, struct json_object *value)
 {
 	json_object_put(*to);
-	*to = json_object_get(value);
+	*to = copy_json(value);
 }
 
 void objects_put(struct objects *o, const char *kind, const char *name,
