Renew no burst when brokers change, and charge each request once

Cause: buckets of daemons that do not lead filled up, so that each hand-over gave an account its burst again; a request that waited for a token passed to the next broker as charged; the former broker counted followers that had left for 1.5 s and admitted the whole rate beside the new one; a daemon that led again took the other domains' old reports for expired.

Change: cgw_quota_begin_to_lead() leaves one token and forgets the reports. FLEET_WAITING says whether the request is charged. A daemon that changes its leader tells the former one. A request that waits at the own broker is withdrawn there when another daemon leads.

--- a/include/gateway/broker.h
+++ b/include/gateway/broker.h
@@ -139,6 +139,10 @@
  * slot is held, and is ignored while the request waits for a slot. */
 void cgw_broker_request_slot(struct cgw_broker *b,
 			     const struct cgw_slot_request *request, cg_ms now);
+/** Returns whether a request that waits for a slot has been charged to its
+ * account or to the retry budget. One that waits for a rate token has not. */
+bool cgw_broker_has_charged(const struct cgw_broker *b, const char *daemon,
+			    uint64_t id);
 /** Releases a held slot or withdraws a slot request; unknown ids are ignored.
  * @p elapsed is the time in ms that the request took. */
 void cgw_broker_release(struct cgw_broker *b, const char *daemon, uint64_t id,
--- a/include/gateway/quota.h
+++ b/include/gateway/quota.h
@@ -27,6 +27,10 @@
 void cgw_quota_configure(struct cgw_quota *q, const struct cgw_table *t,
 			 cg_ms now);
 
+/** Starts a broker that begins to lead its domain: other brokers have admitted
+ * requests meanwhile, so that it has next to no tokens. */
+void cgw_quota_begin_to_lead(struct cgw_quota *q, cg_ms now);
+
 /** Limits this broker to a share, from 0 to 1, of the domain's rates. */
 void cgw_quota_set_broker_share(struct cgw_quota *q, double share);
 /**
@@ -56,7 +60,7 @@
  */
 bool cgw_quota_admit(struct cgw_quota *q, const char *account, cg_ms now,
 		     cg_ms *retry_after_ms);
-/** Returns whether this broker took over the account so recently that it holds
+/** Returns whether this broker began to lead so recently that it holds
  * fewer tokens than the account is entitled to. A refusal can be wrong then. */
 bool cgw_quota_is_warming_up(const struct cgw_quota *q, const char *account,
 			     cg_ms now);
--- a/src/gateway/broker.c
+++ b/src/gateway/broker.c
@@ -619,6 +619,16 @@
 		queue_or_refuse(b, s, &copy, now);
 }
 
+bool cgw_broker_has_charged(const struct cgw_broker *b, const char *daemon,
+			    uint64_t id)
+{
+	char *key = make_key(daemon, id);
+	const struct cgw_waiter *w = g_hash_table_lookup(b->waiters, key);
+
+	g_free(key);
+	return w && w->request.charged;
+}
+
 /* Whether @p a is granted before @p o: by priority, then by the lower recent
  * usage of the account, then by arrival. */
 static bool precedes(struct cgw_broker *b, const struct cgw_waiter *a,
--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -16,6 +16,9 @@
 		return;
 	f->leading = leading;
 	f->servers_fresh = false;
+	if (leading)
+		cgw_quota_begin_to_lead(cgw_broker_quota(f->broker),
+					cgw_loop_now(f->loop));
 	cgw_feed_set_polling(*f->feed, leading);
 }
 
--- a/src/gateway/fleet_internal.h
+++ b/src/gateway/fleet_internal.h
@@ -249,8 +249,9 @@
 void cgw_fleet_resend_requests(struct cgw_fleet *f);
 void cgw_fleet_handle_slot_request(struct cgw_fleet *f, struct cgw_member *m,
 				   const fleet_slot_request *q);
-/** Handles the report of a broker that request @p id waits for a decision. */
-void cgw_fleet_handle_waiting(struct cgw_fleet *f, uint64_t id);
+/** Handles the report of broker @p m that a request waits for a decision. */
+void cgw_fleet_handle_waiting(struct cgw_fleet *f, struct cgw_member *m,
+			      const fleet_waiting *w);
 /** Handles a grant, a refusal or a redirect from another broker. */
 void cgw_fleet_handle_decision(struct cgw_fleet *f, const fleet_body *b,
 			       struct in_addr from);
--- a/src/gateway/fleet_members.c
+++ b/src/gateway/fleet_members.c
@@ -324,6 +324,8 @@
 
 static void follow(struct cgw_fleet *f, const char *name)
 {
+	struct cgw_member *former = cgw_fleet_member(f, f->leader);
+
 	if (!strcmp(f->leader, name))
 		return;
 	cg_info("follows %s; previous leader: %s", *name ? name : "none",
@@ -331,6 +333,10 @@
 	g_strlcpy(f->leader, name, sizeof(f->leader));
 	if (!*name)
 		return;
+	/* The former leader must not count this daemon as a follower: the rates
+	 * that a broker may admit depend on their number. */
+	if (former)
+		cgw_fleet_send_ping(f, former);
 	if (cgw_fleet_member(f, name))
 		cgw_fleet_send_ping(f, cgw_fleet_member(f, name));
 	else
@@ -514,6 +520,14 @@
 	return cgw_quota_broker_share(followers, members);
 }
 
+static void end_following(struct cgw_fleet *f, struct cgw_member *m)
+{
+	if (m->last_follow_at < 0)
+		return;
+	m->last_follow_at = -FOLLOWER_TIMEOUT_MS;
+	cgw_broker_remove_daemon(f->broker, m->name, cgw_loop_now(f->loop));
+}
+
 void cgw_fleet_expire_followers(struct cgw_fleet *f)
 {
 	cg_ms now = cgw_loop_now(f->loop);
@@ -524,11 +538,8 @@
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct cgw_member *m = value;
 
-		if (m->last_follow_at < 0 ||
-		    now - m->last_follow_at < FOLLOWER_TIMEOUT_MS)
-			continue;
-		m->last_follow_at = -FOLLOWER_TIMEOUT_MS;
-		cgw_broker_remove_daemon(f->broker, m->name, now);
+		if (now - m->last_follow_at >= FOLLOWER_TIMEOUT_MS)
+			end_following(f, m);
 	}
 }
 
@@ -683,8 +694,10 @@
 	m->config_version = p->config_version;
 	set_capacity(f, m, p->capacity);
 	cgw_fleet_send_pong(f, m->ip, p->sent_ms, p->config_version);
-	if (!p->follows)
+	if (!p->follows) {
+		end_following(f, m);
 		return;
+	}
 	m->last_follow_at = now;
 	held = g_new0(struct cgw_held_slot, p->held_slots.held_slots_len + 1);
 	for (u_int i = 0; i < p->held_slots.held_slots_len; i++) {
--- a/src/gateway/fleet_messages.c
+++ b/src/gateway/fleet_messages.c
@@ -107,7 +107,7 @@
 		cgw_fleet_handle_decision(f, b, from);
 		return;
 	case FLEET_WAITING:
-		cgw_fleet_handle_waiting(f, b->fleet_body_u.waiting.id);
+		cgw_fleet_handle_waiting(f, s, &b->fleet_body_u.waiting);
 		return;
 	case FLEET_RELEASE:
 		cgw_fleet_handle_release(f, s, &b->fleet_body_u.release);
--- a/src/gateway/fleet_slots.c
+++ b/src/gateway/fleet_slots.c
@@ -126,6 +126,25 @@
 	dispatch_slot_request(s);
 }
 
+/* This daemon led, and another one decides the request from now on. */
+static void withdraw_from_own_broker(struct cgw_slot *s)
+{
+	struct cgw_fleet *f = s->fleet;
+	struct cgw_slot_request *q = &s->request;
+
+	q->charged = q->charged ||
+		     cgw_broker_has_charged(f->broker, q->daemon, q->id);
+	cgw_broker_release(f->broker, q->daemon, q->id, CGW_RESULT_UNUSED, 0,
+			   cgw_loop_now(f->loop));
+	for (guint i = f->pending_requests->len; i > 0; i--) {
+		const struct cgw_slot_request *p = &g_array_index(
+			f->pending_requests, struct cgw_slot_request, i - 1);
+
+		if (p->id == q->id && cgw_fleet_is_self(f, p->daemon))
+			g_array_remove_index(f->pending_requests, i - 1);
+	}
+}
+
 void cgw_fleet_resend_requests(struct cgw_fleet *f)
 {
 	struct cgw_slot *s, *next;
@@ -134,11 +153,10 @@
 	cds_list_for_each_entry_safe(s, next, &f->slots, node) {
 		if (s->state != CGW_SLOT_WAITING || *s->other_broker_ip)
 			continue;
-		/* The former broker may have charged the client account or the
-		 * retry budget for a request that it reported as waiting; the
-		 * new one must not charge them again. */
-		s->request.charged =
-			s->request.charged || s->waiting_reported_at;
+		/* What the former broker has charged to the client account or
+		 * the retry budget must not be charged again. */
+		if (!*s->broker)
+			withdraw_from_own_broker(s);
 		s->requested_at = now;
 		s->waiting_reported_at = 0;
 		dispatch_slot_request(s);
@@ -456,15 +474,23 @@
 	if (f->decision_made)
 		return;
 	b.fleet_body_u.waiting.id = q->id;
+	b.fleet_body_u.waiting.charged =
+		cgw_broker_has_charged(f->broker, request.daemon, request.id);
 	cgw_fleet_send(f, m->ip, &b);
 }
 
-void cgw_fleet_handle_waiting(struct cgw_fleet *f, uint64_t id)
+void cgw_fleet_handle_waiting(struct cgw_fleet *f, struct cgw_member *m,
+			      const fleet_waiting *w)
 {
-	struct cgw_slot *s = find_slot(f, id);
+	struct cgw_slot *s = find_slot(f, w->id);
 
 	if (!s || s->state != CGW_SLOT_WAITING || *s->other_broker_ip)
 		return;
+	/* A late report of a former broker says nothing about the present one,
+	 * but what that has charged is charged. */
+	s->request.charged = s->request.charged || w->charged;
+	if (strcmp(s->broker, m->name) != 0)
+		return;
 	s->waiting_reported_at = cgw_loop_now(f->loop);
 	cgw_timer_arm(f->loop, &s->timer,
 		      s->waiting_reported_at + WAITING_RETRY_MS);
--- a/src/gateway/quota.c
+++ b/src/gateway/quota.c
@@ -21,12 +21,10 @@
 /* Each domain's bucket is larger than its share of the burst by this: a bucket
  * that holds less than one token would admit no request. */
 #define EXTRA_TOKEN_MILLI (1 * CG_RATE_REQUEST_COST)
-/* Tokens of a broker that has just taken over, since it does not know what its
- * predecessor admitted. The limit tolerates 10 % and 20 requests more per
- * window. Three domains that all restart twice in a window use 19 of these 20;
- * a third restart would exceed them. See the test
- * restart_of_all_brokers_stays_within_the_limit. */
-#define TAKEOVER_TOKENS_MILLI (4 * CG_RATE_REQUEST_COST)
+/* Tokens of a broker that begins to lead. It does not know what its predecessors
+ * admitted, and the limit tolerates 10 % and 20 requests more per window: several
+ * hand-overs in each domain must fit into that. */
+#define TAKEOVER_TOKENS_MILLI (1 * CG_RATE_REQUEST_COST)
 /* Warm-up time of a broker that took over. A burst of one second's requests
  * refills within it. */
 #define WARM_UP_MS 2000
@@ -37,7 +35,8 @@
 
 struct domain_demand {
 	int64_t demand_milli;
-	cg_ms received_at;
+	bool known; /* reported since this broker leads */
+	cg_ms received_at; /* if not known: when it began to lead */
 };
 
 struct account_rate {
@@ -48,7 +47,7 @@
 	cg_ms demand_at;
 	cg_ms share_updated_at;
 	cg_ms logged_at;
-	cg_ms created_at;
+	cg_ms led_since;
 	unsigned int refused; /* since the last log line */
 	GHashTable *others; /* domain to struct domain_demand */
 };
@@ -138,9 +137,11 @@
 		struct domain_demand *o = value;
 
 		counted++;
-		sum += DEMAND_MIN_MILLI;
-		if (now - o->received_at < DOMAIN_DEMAND_VALID_MS)
-			sum += o->demand_milli;
+		if (now - o->received_at >= DOMAIN_DEMAND_VALID_MS)
+			sum += DEMAND_MIN_MILLI;
+		else
+			sum += o->known ? o->demand_milli + DEMAND_MIN_MILLI
+					: own;
 	}
 	/* A domain that has never reported is assumed to have the demand of
 	 * this one, so that a broker which receives no reports takes an equal
@@ -154,6 +155,26 @@
 	e->share_updated_at = now;
 }
 
+/* What the other domains reported before is out of date. Until they report
+ * again, each is assumed to have the demand of this one. */
+static void begin_to_lead(struct account_rate *e, cg_ms now)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, e->others);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct domain_demand *o = value;
+
+		o->known = false;
+		o->received_at = now;
+	}
+	cg_rate_bucket_refill(&e->bucket, now);
+	e->bucket.share.tokens =
+		MIN(e->bucket.share.tokens, TAKEOVER_TOKENS_MILLI);
+	e->led_since = now;
+}
+
 static struct account_rate *add_account(struct cgw_quota *q, const char *name,
 					const struct cgw_account *a, cg_ms now)
 {
@@ -163,17 +184,26 @@
 	e->burst_milli = a->burst_milli;
 	e->demand_at = now;
 	e->logged_at = -LOG_INTERVAL_MS;
-	e->created_at = now;
 	e->others =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	cg_rate_bucket_init(&e->bucket, now);
 	update_share(q, e, now);
-	e->bucket.share.tokens =
-		MIN(e->bucket.share.capacity / 2, TAKEOVER_TOKENS_MILLI);
+	e->bucket.share.tokens = e->bucket.share.capacity / 2;
+	begin_to_lead(e, now);
 	g_hash_table_insert(q->accounts, g_strdup(name), e);
 	return e;
 }
 
+void cgw_quota_begin_to_lead(struct cgw_quota *q, cg_ms now)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, q->accounts);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		begin_to_lead(value, now);
+}
+
 void cgw_quota_configure(struct cgw_quota *q, const struct cgw_table *t,
 			 cg_ms now)
 {
@@ -247,7 +277,7 @@
 	const struct account_rate *e =
 		g_hash_table_lookup(q->accounts, account);
 
-	return e && now - e->created_at < WARM_UP_MS;
+	return e && now - e->led_since < WARM_UP_MS;
 }
 
 void cgw_quota_refund(struct cgw_quota *q, const char *account, cg_ms now)
@@ -283,6 +313,7 @@
 		g_hash_table_insert(e->others, g_strdup(domain), o);
 	}
 	o->demand_milli = demand;
+	o->known = true;
 	o->received_at = now;
 }
 
--- a/src/rpc/fleet_wire.x
+++ b/src/rpc/fleet_wire.x
@@ -96,6 +96,8 @@
 /* The slot request has arrived and waits for a decision. */
 struct fleet_waiting {
 	unsigned hyper id;
+	/* Since version 4: the account's rate or the retry budget is charged. */
+	bool charged;
 };
 
 struct fleet_release {
--- a/src/rpc/gen/fleet_wire.h
+++ b/src/rpc/gen/fleet_wire.h
@@ -102,6 +102,7 @@
 
 struct fleet_waiting {
 	u_quad_t id;
+	bool_t charged;
 };
 typedef struct fleet_waiting fleet_waiting;
 
--- a/src/rpc/gen/fleet_wire_xdr.c
+++ b/src/rpc/gen/fleet_wire_xdr.c
@@ -282,6 +282,8 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->id))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->charged))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -11,7 +11,7 @@
 #include "../../standins/support/object_store.h"
 #include "scripted_server.h"
 
-#define GF_DAEMONS 4
+#define GF_DAEMONS 10
 #define GF_SERVERS 4
 
 struct gateway_fleet {
--- a/tests/test_gateway_broker.c
+++ b/tests/test_gateway_broker.c
@@ -815,6 +815,35 @@
 	broker_fixture_clear(&w);
 }
 
+/* After a hand-over a daemon tells the new broker which waiting requests are
+ * charged. Regression: one that waited for a token passed as charged, so that
+ * nobody charged it. */
+static void request_that_waits_for_a_token_is_not_charged(void **state)
+{
+	struct broker_fixture w;
+	struct cgw_slot_request a[8];
+	unsigned int charged = 0;
+
+	(void)state;
+	broker_fixture_init(&w, 1);
+	broker_fixture_add_server(&w, "s1", "svc", 1);
+	broker_fixture_set_account(&w, 2000, 2000);
+	cgw_quota_begin_to_lead(cgw_broker_quota(w.broker), w.now);
+	broker_fixture_advance(&w, 900);
+	for (int i = 0; i < 8; i++) {
+		a[i] = broker_fixture_new_request(&w, "svc", true);
+		strcpy(a[i].account, "acc");
+		broker_fixture_submit(&w, &a[i]);
+	}
+	/* The first two find tokens, and the first of them a slot. */
+	for (int i = 1; i < 8; i++)
+		charged +=
+			cgw_broker_has_charged(w.broker, a[i].daemon, a[i].id);
+	assert_int_equal(charged, 1);
+	assert_true(cgw_broker_has_charged(w.broker, a[1].daemon, a[1].id));
+	broker_fixture_clear(&w);
+}
+
 /* Requests that are refused for another reason must not use up the rate. */
 static void refused_requests_use_no_token(void **state)
 {
@@ -942,6 +971,7 @@
 		cmocka_unit_test(slots_of_a_lost_daemon_are_released),
 		cmocka_unit_test(excess_requests_are_refused_with_retry_after),
 		cmocka_unit_test(requests_wait_for_tokens_after_takeover),
+		cmocka_unit_test(request_that_waits_for_a_token_is_not_charged),
 		cmocka_unit_test(refused_requests_use_no_token),
 		cmocka_unit_test(random_operations_leave_no_request_behind),
 	};
--- a/tests/test_gateway_quota.c
+++ b/tests/test_gateway_quota.c
@@ -221,6 +221,46 @@
 	quota_fixture_clear(&x);
 }
 
+/* The daemons of each domain lead in turn, ten hand-overs in a window, while the
+ * account sends far more than its rate. The buckets of those that do not lead
+ * fill up meanwhile. Regression: each hand-over gave the account its burst
+ * again. */
+static void ten_hand_overs_stay_within_the_limit(void **state)
+{
+	enum {
+		DAEMONS = 4,
+		HAND_OVERS = 10
+	};
+	static const int hot[DOMAINS] = { 60, 60, 60 };
+	struct cgw_quota *daemons[DOMAINS][DAEMONS];
+	struct quota_fixture x;
+
+	(void)state;
+	quota_fixture_init(&x);
+	for (int i = 0; i < DOMAINS; i++)
+		for (int j = 0; j < DAEMONS; j++) {
+			daemons[i][j] = j ? cgw_quota_new(DOMAINS) : x.q[i];
+			cgw_quota_configure(daemons[i][j], x.t, 0);
+		}
+	send_requests(&x, hot, 6000);
+	for (int n = 1; n <= 2 * HAND_OVERS; n++) {
+		int domain = n % DOMAINS;
+
+		x.q[domain] = daemons[domain][n / DOMAINS % DAEMONS];
+		cgw_quota_begin_to_lead(x.q[domain], x.now);
+		send_requests(&x, hot, WINDOW_MS / HAND_OVERS);
+	}
+	print_message("most requests in a window: %d of %d\n",
+		      most_admitted_in_window(&x), WINDOW_LIMIT);
+	assert_true(most_admitted_in_window(&x) <= WINDOW_LIMIT);
+	for (int i = 0; i < DOMAINS; i++) {
+		x.q[i] = daemons[i][0];
+		for (int j = 1; j < DAEMONS; j++)
+			cgw_quota_free(daemons[i][j]);
+	}
+	quota_fixture_clear(&x);
+}
+
 static void lowered_limit_applies_at_once(void **state)
 {
 	static const int hot[DOMAINS] = { 60, 60, 60 };
@@ -340,6 +380,7 @@
 		cmocka_unit_test(cut_off_domain_stays_within_the_limit),
 		cmocka_unit_test(broker_takeover_stays_within_the_limit),
 		cmocka_unit_test(restart_of_all_brokers_stays_within_the_limit),
+		cmocka_unit_test(ten_hand_overs_stay_within_the_limit),
 		cmocka_unit_test(lowered_limit_applies_at_once),
 		cmocka_unit_test(separated_brokers_share_the_rate),
 		cmocka_unit_test(broker_share_limits_admitted_requests),
