Replace a leader without a path to the store before drain_ms has passed

Cause: a call that timed out after 0.7 s was followed by another 0.4 s of doubt, so that the leader noticed 1.6 s after the cut and was replaced 1.6 to 2.2 s after it. A watch left over from its time as leader failed later and marked the list as failing for ever, so that it never led again.

Change: feed.c counts a timeout from when the response was due; a left-over call marks no failure.

--- a/src/gateway/feed.c
+++ b/src/gateway/feed.c
@@ -160,17 +160,41 @@
 	cgw_timer_arm(f->loop, &f->grace_timer, now + EXPIRED_ENTRY_GRACE_MS);
 }
 
+/* Returns since when the store has not answered the present call, which has just
+ * failed: one that timed out has shown that for a while. */
+static cg_ms failure_start(const struct reader *r)
+{
+	cg_ms now = cgw_loop_now(r->feed->loop);
+
+	if (r->call.outcome != CGW_CALL_TIMED_OUT)
+		return now;
+	return MIN(now, r->sent_at + (r->watching ? WATCH_WAIT_MS : 0));
+}
+
+/* Whether the present call of the list of servers is left from a time before this
+ * daemon polls, or from before it has stopped. What it shows of the store is not
+ * followed by another call. */
+static bool is_left_over(const struct reader *r)
+{
+	const struct cgw_feed *f = r->feed;
+
+	return r->kind == READER_SERVERS &&
+	       (!f->polling || r->sent_at < f->polling_since);
+}
+
 static void record_outcome(struct reader *r, bool ok, const char *reason)
 {
 	struct cgw_feed *f = r->feed;
 	bool failed = is_failing(f);
 
+	if (!ok && is_left_over(r))
+		return;
 	if (r->kind != READER_FLEET)
 		record_store_answer(f, ok);
 	if (!ok) {
 		r->failed_at = cgw_loop_now(f->loop);
 		if (!r->failing)
-			r->failing_since = r->failed_at;
+			r->failing_since = failure_start(r);
 	}
 	r->failing = !ok;
 	r->retry_delay = ok ? 0
@@ -540,9 +564,10 @@
 		delay = !empty	     ? r->retry_delay
 			: f->polling ? poll_interval(f)
 				     : -1;
-		/* A feed that does not poll retries only until its first
-		 * success. Later reads are started by cgw_feed_refresh(). */
-		if (!f->polling && r->succeeded)
+		/* A feed that does not poll needs no list of servers, and
+		 * retries the others only until their first success. Later
+		 * reads are started by cgw_feed_refresh(). */
+		if (!f->polling && (r->succeeded || r->kind == READER_SERVERS))
 			delay = -1;
 	}
 	cgw_call_clear(call);
--- a/tests/test_gateway_feed.c
+++ b/tests/test_gateway_feed.c
@@ -21,8 +21,10 @@
 #define GRACE_MS	2200
 #define WAIT_MS		6000
 #define SHORT_OUTAGE_MS 300
-#define DEEP_LEVELS	100
-#define LONG_OUTAGE_MS	(2 * HEARTBEAT_MS + 400)
+/* The next read of the configuration, its timeout and a margin. */
+#define NOTICED_MS     (500 + 700 + 100)
+#define DEEP_LEVELS    100
+#define LONG_OUTAGE_MS (2 * HEARTBEAT_MS + 400)
 
 struct fixture {
 	struct cg_clock clk;
@@ -189,6 +191,50 @@
 	teardown(&f);
 }
 
+/* A daemon that reads the store for its domain must notice within two seconds
+ * that it has lost its path there, and hand over: by then nothing may be sent to a
+ * server that says meanwhile that it leaves. */
+static void silent_store_is_noticed_with_the_first_timeout(void **state)
+{
+	struct fixture f;
+	cg_ms since;
+
+	(void)state;
+	setup(&f);
+	/* The longest wait for the next read begins with the end of one. */
+	since = cgw_feed_last_config_read(f.feed);
+	while (cgw_feed_last_config_read(f.feed) == since)
+		cgw_loop_step(f.loop, 10);
+	assert_true(cgw_feed_is_healthy(f.feed));
+	objects_set_fault(f.store, OBJECTS_FAULT_NO_RESPONSE);
+	since = cg_clock_now(&f.clk);
+	while (cgw_feed_is_healthy(f.feed) &&
+	       cg_clock_now(&f.clk) - since < WAIT_MS)
+		cgw_loop_step(f.loop, 10);
+	assert_in_range(cg_clock_now(&f.clk) - since, 0, NOTICED_MS);
+	teardown(&f);
+}
+
+/* A call that is still running when the daemon stops polling tells it nothing
+ * when it fails. Regression: no call followed that could succeed, so that the
+ * daemon never led again. */
+static void left_over_call_marks_no_failure(void **state)
+{
+	struct fixture f;
+
+	(void)state;
+	setup(&f);
+	objects_set_fault(f.store, OBJECTS_FAULT_NO_RESPONSE);
+	run(&f, 300);
+	cgw_feed_set_polling(f.feed, false);
+	run(&f, 2000);
+	objects_set_fault(f.store, OBJECTS_FAULT_NONE);
+	cgw_feed_refresh(f.feed);
+	run(&f, 1500);
+	assert_true(cgw_feed_is_healthy(f.feed));
+	teardown(&f);
+}
+
 /* Another writer replaces an entry by one that no parser takes. That server is no
  * longer used, and the list is still followed. */
 static void unreadable_entry_does_not_stop_the_feed(void **state)
@@ -219,6 +265,9 @@
 		cmocka_unit_test(one_failed_call_keeps_no_removed_server),
 		cmocka_unit_test(
 			entries_that_expired_in_an_outage_are_kept_for_a_while),
+		cmocka_unit_test(
+			silent_store_is_noticed_with_the_first_timeout),
+		cmocka_unit_test(left_over_call_marks_no_failure),
 		cmocka_unit_test(unreadable_entry_does_not_stop_the_feed),
 	};
 
