--- a/tests/support/gateway_fleet.c
+++ b/tests/support/gateway_fleet.c
@@ -103,8 +103,9 @@
 	char *spec = g_strdup_printf(
 		"{\"service\":\"svc\",\"addr\":\"127.0.0.1:%u\",\"zone\":\"%s\","
 		"\"version\":\"v1\",\"max_concurrency\":3,\"state\":\"%s\","
-		"\"warmup_left_ms\":0,\"seq\":1,\"born\":1000}",
-		f->servers[i].port, i < GF_SERVERS / 2 ? "a" : "b", state);
+		"\"warmup_left_ms\":0,\"seq\":1,\"born\":%u}",
+		f->servers[i].port, i < GF_SERVERS / 2 ? "a" : "b", state,
+		1000 + f->restarts[i]);
 	char name[16];
 
 	g_snprintf(name, sizeof(name), "s%u", i);
@@ -112,6 +113,12 @@
 	g_free(spec);
 }
 
+void gf_restart_server(struct gateway_fleet *f, unsigned int i)
+{
+	f->restarts[i]++;
+	gf_put_server(f, i, "ready");
+}
+
 void gf_put_config(struct gateway_fleet *f, bool key, int rate, int burst,
 		   const char *extra)
 {
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -11,7 +11,7 @@
 #include "../../standins/support/object_store.h"
 #include "scripted_server.h"
 
-#define GF_DAEMONS 10
+#define GF_DAEMONS 128
 #define GF_SERVERS 4
 
 struct gateway_fleet {
@@ -21,6 +21,8 @@
 	unsigned int daemons;
 	uint16_t ports; /**< First of three: callers, readiness, peers. */
 	char dir[64];
+	/** Processes that server i has had before; see gf_restart_server(). */
+	unsigned int restarts[GF_SERVERS];
 	unsigned int version; /**< Of the last configuration written. */
 	/** Settings of the daemons from their next start on; 0: left out. */
 	double cpu_share[GF_DAEMONS];
@@ -69,6 +71,8 @@
 void gf_wait_ready(struct gateway_fleet *f);
 /** Returns the HTTP status of a daemon's readiness check; 0: no response. */
 int gf_ready_status(struct gateway_fleet *f, unsigned int i);
+/** Writes the entry of a new process of server @p i, at the same address. */
+void gf_restart_server(struct gateway_fleet *f, unsigned int i);
 /** Sends a request and waits for its response. */
 struct gf_response gf_call(struct gateway_fleet *f, const struct gf_request *r);
 /** Sends a GET request for /safe/x with key "k1" and a new request id. */
--- a/tests/support/scripted_server.c
+++ b/tests/support/scripted_server.c
@@ -40,19 +40,20 @@
 	(void)n;
 }
 
-static void send_response(int fd, int status, const char *id, const char *extra,
-			  bool framed, const char *body)
+static void send_response(const struct client *p, int status, const char *id,
+			  const char *extra, bool framed, const char *part)
 {
-	char *length =
-		framed ? g_strdup_printf("Content-Length: %u\r\n",
-					 (unsigned int)strlen(RESPONSE_BODY))
-		       : g_strdup("Connection: close\r\n");
+	const char *whole = p->server->own_bodies && id ? id : RESPONSE_BODY;
+	const char *body = !strcmp(part, RESPONSE_BODY) ? whole : part;
+	char *length = framed ? g_strdup_printf("Content-Length: %u\r\n",
+						(unsigned int)strlen(whole))
+			      : g_strdup("Connection: close\r\n");
 	char *text =
 		g_strdup_printf("HTTP/1.1 %d X\r\n%s%s%s%s%s\r\n%s", status,
 				length, id ? "X-Request-Id: " : "",
 				id ? id : "", id ? "\r\n" : "", extra, body);
 
-	send_text(fd, text);
+	send_text(p->fd, text);
 	g_free(text);
 	g_free(length);
 }
@@ -146,10 +147,9 @@
 			       const char *copy_id)
 {
 	record_run(p->server, id);
-	send_response(p->fd, 503, copy_id, "X-Not-Run: 1\r\n", true,
-		      RESPONSE_BODY);
+	send_response(p, 503, copy_id, "X-Not-Run: 1\r\n", true, RESPONSE_BODY);
 	g_usleep(LATE_COPY_US);
-	send_response(p->fd, 200, id, "X-Response-Seal: s\r\n", true,
+	send_response(p, 200, id, "X-Response-Seal: s\r\n", true,
 		      RESPONSE_BODY);
 }
 
@@ -178,53 +178,53 @@
 		wait_for_disconnect(p);
 		return false;
 	case SCRIPTED_SHED:
-		send_response(p->fd, 503, id, "X-Not-Run: 1\r\n", true,
+		send_response(p, 503, id, "X-Not-Run: 1\r\n", true,
 			      RESPONSE_BODY);
 		return true;
 	case SCRIPTED_ERROR:
-		send_response(p->fd, 500, id, seal, true, RESPONSE_BODY);
+		send_response(p, 500, id, seal, true, RESPONSE_BODY);
 		return true;
 	case SCRIPTED_CLOSE:
 		return false;
 	case SCRIPTED_TRUNCATE:
-		send_response(p->fd, 200, id, seal, true, "half");
+		send_response(p, 200, id, seal, true, "half");
 		return false;
 	case SCRIPTED_CROSSED:
-		send_response(p->fd, 200, "somebody-else", seal, true,
+		send_response(p, 200, "somebody-else", seal, true,
 			      RESPONSE_BODY);
-		send_response(p->fd, 200, id, seal, true, RESPONSE_BODY);
+		send_response(p, 200, id, seal, true, RESPONSE_BODY);
 		return true;
 	case SCRIPTED_EXTRA:
-		send_response(p->fd, 200, id, seal, true, RESPONSE_BODY);
-		send_response(p->fd, 200, id, seal, true, RESPONSE_BODY);
+		send_response(p, 200, id, seal, true, RESPONSE_BODY);
+		send_response(p, 200, id, seal, true, RESPONSE_BODY);
 		return true;
 	case SCRIPTED_GARBAGE:
 		send_text(p->fd, "\x01\x02 no response at all\r\n\r\n");
 		return false;
 	case SCRIPTED_UNFRAMED:
-		send_response(p->fd, 200, id, seal, false, RESPONSE_BODY);
+		send_response(p, 200, id, seal, false, RESPONSE_BODY);
 		return false;
 	case SCRIPTED_UNSEALED:
-		send_response(p->fd, 200, id, "", true, RESPONSE_BODY);
+		send_response(p, 200, id, "", true, RESPONSE_BODY);
 		return true;
 	case SCRIPTED_MISPLACED:
-		send_response(p->fd, 421, id, "X-Instance-Id: other\r\n", true,
+		send_response(p, 421, id, "X-Instance-Id: other\r\n", true,
 			      RESPONSE_BODY);
 		return true;
 	case SCRIPTED_NO_BODY:
-		send_response(p->fd, 200, id, seal, true, "");
+		send_response(p, 200, id, seal, true, "");
 		return true;
 	case SCRIPTED_LATE_COPY:
-		send_response(p->fd, 200, id, seal, true, RESPONSE_BODY);
+		send_response(p, 200, id, seal, true, RESPONSE_BODY);
 		g_usleep(LATE_COPY_US);
-		send_response(p->fd, 200, id, seal, true, RESPONSE_BODY);
+		send_response(p, 200, id, seal, true, RESPONSE_BODY);
 		return true;
 	case SCRIPTED_SHED_COPY:
 		if (p->served)
 			respond_after_copy(p, id, NULL);
 		else
-			send_response(p->fd, 503, NULL, "X-Not-Run: 1\r\n",
-				      true, RESPONSE_BODY);
+			send_response(p, 503, NULL, "X-Not-Run: 1\r\n", true,
+				      RESPONSE_BODY);
 		return true;
 	case SCRIPTED_STRAY_SHED:
 		if (p->served) {
@@ -232,22 +232,22 @@
 			return true;
 		}
 		record_run(p->server, id);
-		send_response(p->fd, 200, id, seal, true, RESPONSE_BODY);
+		send_response(p, 200, id, seal, true, RESPONSE_BODY);
 		return true;
 	case SCRIPTED_SHED_WITHOUT_ID:
 		if (p->served) {
-			send_response(p->fd, 503, NULL, "X-Not-Run: 1\r\n",
-				      true, RESPONSE_BODY);
+			send_response(p, 503, NULL, "X-Not-Run: 1\r\n", true,
+				      RESPONSE_BODY);
 			return true;
 		}
 		record_run(p->server, id);
-		send_response(p->fd, 200, id, seal, true, RESPONSE_BODY);
+		send_response(p, 200, id, seal, true, RESPONSE_BODY);
 		return true;
 	case SCRIPTED_SHED_COPY_WITH_ID:
 		if (p->served)
 			respond_after_copy(p, id, id);
 		else
-			send_response(p->fd, 503, id, "X-Not-Run: 1\r\n", true,
+			send_response(p, 503, id, "X-Not-Run: 1\r\n", true,
 				      RESPONSE_BODY);
 		return true;
 	case SCRIPTED_CUT:
@@ -259,24 +259,24 @@
 		g_strfreev(parts);
 		return false;
 	case SCRIPTED_LEAVING:
-		send_response(p->fd, 200, id,
+		send_response(p, 200, id,
 			      "X-Response-Seal: s\r\nServer-Leaving: 1\r\n",
 			      true, RESPONSE_BODY);
 		return true;
 	case SCRIPTED_REST:
 		text = g_strdup_printf("X-Not-Run: 1\r\nRetry-After: %s\r\n",
 				       p->server->retry_after);
-		send_response(p->fd, 503, id, text, true, RESPONSE_BODY);
+		send_response(p, 503, id, text, true, RESPONSE_BODY);
 		g_free(text);
 		return true;
 	case SCRIPTED_BUSY:
-		send_response(p->fd, 503, id, seal, true, RESPONSE_BODY);
+		send_response(p, 503, id, seal, true, RESPONSE_BODY);
 		return true;
 	case SCRIPTED_LIMITED:
-		send_response(p->fd, 429, id, seal, true, RESPONSE_BODY);
+		send_response(p, 429, id, seal, true, RESPONSE_BODY);
 		return true;
 	case SCRIPTED_IMPATIENT:
-		send_response(p->fd, 408, id, seal, true, RESPONSE_BODY);
+		send_response(p, 408, id, seal, true, RESPONSE_BODY);
 		return true;
 	case SCRIPTED_TRAILER:
 		text = g_strdup_printf(
@@ -298,7 +298,7 @@
 		send_endless(p, mode, id);
 		return false;
 	default:
-		send_response(p->fd, 200, id, seal, true, RESPONSE_BODY);
+		send_response(p, 200, id, seal, true, RESPONSE_BODY);
 		return true;
 	}
 }
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -91,6 +91,7 @@
 	/** The last request as received; protected by lock. */
 	char *last_head;
 	_Atomic int clients; /**< Threads that serve a connection. */
+	_Atomic bool own_bodies; /**< Bodies are the id of the request. */
 	_Atomic bool drop_idle; /**< Close idle connections. */
 	_Atomic bool stopping;
 };
