--- a/tests/test_system_soak.c
+++ b/tests/test_system_soak.c
@@ -86,6 +86,7 @@
 	/* When a process of it was last told to end, or was killed;
 	 * G_MAXINT64 while that goes on. */
 	_Atomic cg_ms term_at, killed_at;
+	bool told_to_end; /* the present process */
 	bool paused_since_term;
 	_Atomic cg_ms started_at;
 };
@@ -261,6 +262,7 @@
 
 	gf_start_daemon(&fleet, i);
 	d->state = DAEMON_RUNS;
+	d->told_to_end = false;
 	d->started_at = now_ms();
 }
 
@@ -312,8 +314,7 @@
 		start_daemon(i);
 	} else if (d->state == DAEMON_PAUSED) {
 		kill(fleet.pids[i], SIGCONT);
-		d->state =
-			d->term_at > d->started_at ? DAEMON_STOPS : DAEMON_RUNS;
+		d->state = d->told_to_end ? DAEMON_STOPS : DAEMON_RUNS;
 	}
 }
 
@@ -342,6 +343,7 @@
 		if (d->state == DAEMON_RUNS)
 			d->term_at = now_ms();
 		kill(fleet.pids[i], SIGTERM);
+		d->told_to_end = true;
 		d->state = DAEMON_STOPS;
 		d->restart_after = ms;
 		d->paused_since_term = false;
