Wait 100 ms for a rate coordinator that does not answer

A request without a token waited 20 ms for its coordinator's answer, and a daemon that does not run for 60 ms answers none. Ruled out: tokens of the pool running out, which refused nothing in any run.

--- a/src/config/settings.c
+++ b/src/config/settings.c
@@ -43,7 +43,7 @@
 	MS(poll_ms, 10000, 50, 3600000),
 	MS(key_isolation_ms, 5000, 100, 600000),
 	MS(gone_confirm_ms, 10000, 100, 600000),
-	MS(rate_wait_ms, 20, 0, 10000),
+	MS(rate_wait_ms, 100, 0, 10000),
 	MS(unlisted_lease_ms, 30000, 100, 600000),
 	MS(verdict_ttl_ms, 30000, 100, 600000),
 	MS(eject_ms, 10000, 100, 300000),
--- a/tests/test_system_rates.c
+++ b/tests/test_system_rates.c
@@ -20,6 +20,10 @@
 #define LARGE "-a large:large-key-0123456789abcdef "
 #define SMALL "-a small:small-key-0123456789abcdef "
 #define KIND  "-g /rounds "
+/* A daemon is stopped for a moment this often. */
+#define STALLS		  20
+#define STALL_INTERVAL_MS 300
+#define STALL_MS	  60
 
 /* A request that got status 200. It was admitted between the two times. */
 struct granted {
@@ -170,6 +174,32 @@
 	json_object_put(s);
 }
 
+/* Regression: an account within its rate was refused as soon as its coordinator
+ * had not answered for 20 ms. */
+static void short_stalls_of_daemons_refuse_nothing(void **state)
+{
+	struct fleet *f = start(4);
+	int load = fleet_load_start(f, "-r 40 -d 8 " KIND SMALL);
+	struct json_object *sum;
+
+	for (int i = 0; i < STALLS; i++) {
+		g_usleep(STALL_INTERVAL_MS * 1000);
+		fleet_signal_daemon(f, i % 4, SIGSTOP);
+		g_usleep(STALL_MS * 1000);
+		fleet_signal_daemon(f, i % 4, SIGCONT);
+	}
+	sum = fleet_load_wait(f, load);
+	printf("small: answered %d of %d, refused %s\n",
+	       (int)fleet_summary_number(sum, "answered"),
+	       (int)fleet_summary_number(sum, "sent"),
+	       json_object_to_json_string(
+		       json_object_object_get(sum, "refused")));
+	assert_int_equal(fleet_summary_number(sum, "answered"),
+			 fleet_summary_number(sum, "sent"));
+	assert_int_equal(fleet_count_violations(sum), 0);
+	json_object_put(sum);
+}
+
 static void frozen_and_killed_daemons_keep_the_rate(void **state)
 {
 	struct fleet *f = start(4);
@@ -199,6 +229,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_teardown(daemons_alone_exceed_the_rate, stop),
 		cmocka_unit_test_teardown(healthy_fleet_keeps_the_rate, stop),
+		cmocka_unit_test_teardown(
+			short_stalls_of_daemons_refuse_nothing, stop),
 		cmocka_unit_test_teardown(
 			frozen_and_killed_daemons_keep_the_rate, stop),
 	};
