Blame no server for the requests of a silent daemon

Cause: the broker takes a request whose slot is not released in time for one that hangs. The daemon that holds the slot may be frozen or cut off from the broker and unable to report that its server has answered.

Change: a request counts as overdue only if its daemon has sent a message since about then; the broker pings a daemon that has not.

--- a/include/gateway/broker.h
+++ b/include/gateway/broker.h
@@ -105,6 +105,10 @@
 	/** Share of a service's servers, over all domains, that is never
 	 * ejected. */
 	double min_share;
+	/** Returns whether a daemon has sent a message since @p since. If not,
+	 * asks it for one. Called with the argument of the decisions; NULL if
+	 * all daemons always are in touch. */
+	bool (*heard_since)(void *arg, const char *daemon, cg_ms since);
 };
 
 struct cgw_broker;
--- a/src/gateway/broker_trust.c
+++ b/src/gateway/broker_trust.c
@@ -33,6 +33,9 @@
 #define SUSPICION_MAX	6.5
 /* A request hangs from this multiple of the overdue time on. */
 #define HUNG_FACTOR 1.6
+/* A daemon is asked for a message this long before one of its requests becomes
+ * overdue: more than the interval of ticks and a round trip. */
+#define TOUCH_MS 60
 /* An ejection lasts as long as episodes of the service do, but no longer than
  * this if the service runs short: a working server without requests then counts
  * against the floor after 2 s. */
@@ -388,10 +391,24 @@
 	return s->inflight < s->facts.slots;
 }
 
+/* Returns whether a request is still open at @at by what its daemon says. One
+ * that is cut off cannot report that its server has answered. */
+static bool is_open_at(struct cgw_broker *b, const struct cgw_grant *g,
+		       cg_ms at, cg_ms now)
+{
+	cg_ms since = at - TOUCH_MS;
+
+	return now >= since &&
+	       (!b->settings.heard_since ||
+		b->settings.heard_since(b->arg, g->daemon, since)) &&
+	       now >= at;
+}
+
 void cgw_server_check_age(struct cgw_broker *b, struct cgw_grant *g, cg_ms now)
 {
 	struct cgw_server *s = g->server;
 	cg_ms overdue_after = g->overdue_at - g->started_at;
+	cg_ms hung_at = g->started_at + (cg_ms)(HUNG_FACTOR * overdue_after);
 	struct cgw_route_latency *latency =
 		g_hash_table_lookup(b->latencies, g->route);
 	double step = 0;
@@ -402,14 +419,13 @@
 	if (!latency || latency->samples < LATENCY_SAMPLES_MIN)
 		return;
 
-	if (g->age_stage < 1 && now >= g->overdue_at) {
+	if (g->age_stage < 1 && is_open_at(b, g, g->overdue_at, now)) {
 		g->age_stage = 1;
 		s->overdue++;
 		add_to_run(s, CGW_EVIDENCE_OVERDUE, now);
 		step += evidence_step(b, s, CGW_EVIDENCE_OVERDUE);
 	}
-	if (g->age_stage < 2 &&
-	    now - g->started_at >= (cg_ms)(HUNG_FACTOR * overdue_after)) {
+	if (g->age_stage < 2 && is_open_at(b, g, hung_at, now)) {
 		g->age_stage = 2;
 		/* A request that takes this long ejects its server, however
 		 * much of the suspicion since it was overdue has decayed. */
@@ -427,6 +443,8 @@
 {
 	struct cgw_server *s = g->server;
 
+	if (result == CGW_RESULT_HUNG)
+		cgw_server_check_age(b, g, now);
 	if (g->age_stage)
 		s->overdue--;
 	switch (result) {
--- a/src/gateway/fleet_internal.h
+++ b/src/gateway/fleet_internal.h
@@ -213,6 +213,9 @@
 /** Returns the share, from 0 to 1, of the domain's rates that the own broker
  * may admit. It is 1 until FOLLOWER_TIMEOUT_MS after the start. */
 double cgw_fleet_rate_share(struct cgw_fleet *f);
+/** Returns whether a daemon has sent a message since @p since; if not, pings it.
+ * The heard_since function of the broker; @p arg is the fleet. */
+bool cgw_fleet_heard_since(void *arg, const char *daemon, cg_ms since);
 /** Ends the requests and held slots of followers that have become silent. */
 void cgw_fleet_expire_followers(struct cgw_fleet *f);
 /** Tells those that lead next when this leader can or cannot read the store. */
--- a/src/gateway/fleet_members.c
+++ b/src/gateway/fleet_members.c
@@ -520,6 +520,18 @@
 	return cgw_quota_broker_share(followers, members);
 }
 
+bool cgw_fleet_heard_since(void *arg, const char *daemon, cg_ms since)
+{
+	struct cgw_fleet *f = arg;
+	struct cgw_member *m = cgw_fleet_member(f, daemon);
+
+	if (!m || m->last_message_at >= since)
+		return true;
+	if (m->last_ping_at < since)
+		cgw_fleet_send_ping(f, m);
+	return false;
+}
+
 static void end_following(struct cgw_fleet *f, struct cgw_member *m)
 {
 	if (m->last_follow_at < 0)
--- a/tests/support/gateway_broker_fixture.c
+++ b/tests/support/gateway_broker_fixture.c
@@ -9,6 +9,14 @@
 	w->decisions[w->decision_count++ % BROKER_FIXTURE_DECISIONS] = *d;
 }
 
+static bool heard_since(void *arg, const char *daemon, cg_ms since)
+{
+	const struct broker_fixture *w = arg;
+
+	(void)daemon;
+	return w->heard_until >= since;
+}
+
 void broker_fixture_init(struct broker_fixture *w, unsigned int domains)
 {
 	struct cgw_broker_settings s = {
@@ -18,10 +26,12 @@
 		.retry_slack = 20,
 		.retry_window_ms = 10000,
 		.min_share = 0.7,
+		.heard_since = heard_since,
 	};
 
 	memset(w, 0, sizeof(*w));
 	w->now = 1000;
+	w->heard_until = CG_MS_NEVER;
 	w->next_id = 1;
 	w->servers = g_array_new(FALSE, TRUE, sizeof(struct cgw_server_facts));
 	w->broker = cgw_broker_new(&s, record_decision, w);
--- a/tests/support/gateway_broker_fixture.h
+++ b/tests/support/gateway_broker_fixture.h
@@ -18,6 +18,7 @@
 	GArray *servers; /**< struct cgw_server_facts */
 	uint64_t next_id;
 	cg_ms now;
+	cg_ms heard_until; /**< When the daemons fall silent. */
 };
 
 /** Creates a broker of domain "a" without servers; @p domains is the number of
--- a/tests/test_gateway_broker.c
+++ b/tests/test_gateway_broker.c
@@ -231,6 +231,34 @@
 	broker_fixture_clear(&w);
 }
 
+/* Regression: a daemon that was cut off from its broker, or frozen, could not
+ * report that its requests had been answered, and their servers were ejected. */
+static void requests_of_a_silent_daemon_eject_no_server(void **state)
+{
+	struct broker_fixture w;
+	struct cgw_slot_request a;
+	const struct cgw_slot_decision *d;
+	char id[CGW_NAME_MAX + 1];
+
+	(void)state;
+	broker_fixture_init(&w, 1);
+	broker_fixture_add_servers(&w, "svc", 4, 3);
+	train_typical_latency(&w, "svc", 200);
+	a = broker_fixture_new_request(&w, "svc", false);
+	d = broker_fixture_submit(&w, &a);
+	strcpy(id, d->u.grant.server);
+	w.heard_until = w.now + 100;
+	broker_fixture_advance(&w, 1200);
+	assert_int_equal(cgw_broker_trust(w.broker, id, w.now),
+			 CGW_TRUST_HEALTHY);
+	/* The daemon is back, and the request is still open. */
+	w.heard_until = CG_MS_NEVER;
+	broker_fixture_advance(&w, 50);
+	assert_int_equal(cgw_broker_trust(w.broker, id, w.now),
+			 CGW_TRUST_EJECTED);
+	broker_fixture_clear(&w);
+}
+
 /* A late but successful response must end the ejection of its server. */
 static void late_success_ends_the_ejection(void **state)
 {
@@ -941,6 +969,7 @@
 		cmocka_unit_test(
 			waiting_request_is_refused_before_its_deadline),
 		cmocka_unit_test(hanging_server_is_ejected),
+		cmocka_unit_test(requests_of_a_silent_daemon_eject_no_server),
 		cmocka_unit_test(late_success_ends_the_ejection),
 		cmocka_unit_test(
 			ejected_server_of_a_short_service_gets_a_request_within_two_seconds),
