Send the running requests of the ingress tests from one place

Cause: two tests built the same POST; add_account() halved a bucket that is bounded to one token right after. Change: send_running() takes the path; the halving is gone.

--- a/src/gateway/quota.c
+++ b/src/gateway/quota.c
@@ -188,7 +188,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	cg_rate_bucket_init(&e->bucket, now);
 	update_share(q, e, now);
-	e->bucket.share.tokens = e->bucket.share.capacity / 2;
+	e->bucket.share.tokens = e->bucket.share.capacity;
 	begin_to_lead(e, now);
 	g_hash_table_insert(q->accounts, g_strdup(name), e);
 	return e;
--- a/tests/test_system_ingress.c
+++ b/tests/test_system_ingress.c
@@ -55,14 +55,15 @@
 }
 
 /* Sends requests that must not be repeated and keeps their connections. */
-static void send_running(struct gateway_fleet *f, int fds[RUNNING])
+static void send_running(struct gateway_fleet *f, const char *path,
+			 int fds[RUNNING])
 {
 	for (int i = 0; i < RUNNING; i++) {
 		char *text = g_strdup_printf(
-			"POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\n"
+			"POST %s HTTP/1.1\r\nHost: h.example\r\n"
 			"X-Request-Id: run-%d\r\nAuthorization: Bearer k1\r\n"
 			"Content-Length: 1\r\n\r\nx",
-			i);
+			path, i);
 
 		fds[i] = gf_send_raw(f, 0, text);
 		g_free(text);
@@ -90,7 +91,7 @@
 
 	(void)state;
 	start(&f, WORK_MS);
-	send_running(&f, fds);
+	send_running(&f, "/unsafe/x", fds);
 	for (int i = 0; i < 3; i++) {
 		int fd = gf_send_raw(&f, 0, WITHIN_HEAD);
 
@@ -119,17 +120,7 @@
 		"\"attempts\":1}}");
 	sleep_ms(2000);
 	within = gf_send_raw(&f, 0, WITHIN_HEAD);
-	for (int i = 0; i < RUNNING; i++) {
-		char *text = g_strdup_printf(
-			"POST /unsafe/x/y HTTP/1.1\r\nHost: h.example\r\n"
-			"X-Request-Id: run-%d\r\nAuthorization: Bearer k1\r\n"
-			"Content-Length: 1\r\n\r\nx",
-			i);
-
-		fds[i] = gf_send_raw(&f, 0, text);
-		g_free(text);
-	}
-	sleep_ms(300);
+	send_running(&f, "/unsafe/x/y", fds);
 	kill(f.pids[0], SIGTERM);
 	assert_answered(fds);
 	close(within);
@@ -161,7 +152,7 @@
 	g_string_append(heads[3], "\r\n");
 
 	start(&f, WORK_MS);
-	send_running(&f, fds);
+	send_running(&f, "/unsafe/x", fds);
 	for (size_t i = 0; i < G_N_ELEMENTS(heads); i++) {
 		int fd = gf_send_raw(&f, 0, heads[i]->str);
 
