Take the head bounds of celerygladed from its settings

Result: test_system_bad_input with a second daemon set to 60,000 bytes: a head of that length is served, one byte more is refused with 431 and not run. test_settings and test_forward pass.

--- a/include/internal/request.h
+++ b/include/internal/request.h
@@ -17,8 +17,6 @@
 #include "internal/timers.h"
 
 #define CG_REQUEST_ID_MAX 64
-/** Longest head of a response that is passed on, in bytes. */
-#define CG_RESPONSE_HEAD_MAX_BYTES ((size_t)23 * 1024)
 
 /** One HTTP header. */
 struct cg_header {
--- a/include/internal/settings.h
+++ b/include/internal/settings.h
@@ -33,6 +33,10 @@
 	uint32_t http_threads;
 	uint32_t max_connections; /**< Limit of connections from callers. */
 	uint32_t max_body_bytes;
+	/** Longest heads of requests, each field counting 64 bytes besides its
+	 * text, and of responses. */
+	uint32_t request_head_max_bytes;
+	uint32_t response_head_max_bytes;
 	cg_ms gossip_ms; /**< Average interval of gossip calls. */
 	cg_ms poll_ms; /**< Store poll interval of a daemon without a watch. */
 	/** Keys are refused if for this time neither the configuration was
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -5,6 +5,7 @@
 
 #include "celeryglade/counters.h"
 #include "internal/connection_private.h"
+#include "internal/proxy.h"
 
 /*
  * If a persistent connection closes without a response, neon by default sends
@@ -181,7 +182,7 @@
 		out->reusable = true;
 		return;
 	}
-	if (head_length(req) > CG_RESPONSE_HEAD_MAX_BYTES) {
+	if (head_length(req) > r->proxy->settings->response_head_max_bytes) {
 		out->outcome = CG_ATTEMPT_TOO_LARGE;
 		return;
 	}
--- a/src/request/front.c
+++ b/src/request/front.c
@@ -7,19 +7,12 @@
 
 #include "internal/logging.h"
 
-#define IDLE_TIMEOUT_S 75
-/* libmicrohttpd keeps the head of a request, with a record for each field, and the
- * head of its response in one block for each connection, and reads a head of up to
- * half of the block. Each has its own part of it, so that what has been forwarded
- * can be answered. */
-#define REQUEST_HEAD_MAX_BYTES (30 * 1024)
-#define FIELD_MEMORY_BYTES     64
+#define IDLE_TIMEOUT_S	   75
+#define FIELD_MEMORY_BYTES 64
 /* Status line and fields that the daemon itself adds to a response. */
 #define OWN_RESPONSE_HEAD_BYTES 1024
-#define CONNECTION_MEMORY_BYTES (64 * 1024)
-G_STATIC_ASSERT(REQUEST_HEAD_MAX_BYTES < CONNECTION_MEMORY_BYTES / 2 &&
-		CG_RESPONSE_HEAD_MAX_BYTES + OWN_RESPONSE_HEAD_BYTES <
-			CONNECTION_MEMORY_BYTES / 2);
+/* Part of a connection's memory that holds no head. */
+#define SPARE_MEMORY_BYTES	   2048
 #define MAX_HEADERS		   100
 #define MAX_IDEMPOTENCY_KEY_LENGTH 255
 #define BEARER_PREFIX		   "Bearer "
@@ -172,7 +165,7 @@
 {
 	const struct cg_settings *s = scan->request->proxy->settings;
 
-	if (scan->memory > REQUEST_HEAD_MAX_BYTES)
+	if (scan->memory > s->request_head_max_bytes)
 		return CG_REASON_HEAD_TOO_LARGE;
 	if (scan->content_lengths + scan->transfer_codings > 1 ||
 	    scan->unsupported_coding || scan->host_headers > 1 ||
@@ -344,6 +337,18 @@
 	g_free(text);
 }
 
+/* libmicrohttpd keeps the head of a request, with a record for each field, and the
+ * head of its response in one block for each connection, and reads a head of up to
+ * half of the block. Each has its own half of it, so that what has been forwarded
+ * can be answered. */
+static size_t connection_memory(const struct cg_settings *s)
+{
+	size_t head = MAX(s->request_head_max_bytes,
+			  s->response_head_max_bytes + OWN_RESPONSE_HEAD_BYTES);
+
+	return 2 * (head + SPARE_MEMORY_BYTES);
+}
+
 struct cg_front *cg_front_new(struct cg_proxy *p)
 {
 	const struct cg_settings *s = p->settings;
@@ -360,9 +365,8 @@
 		MHD_OPTION_THREAD_POOL_SIZE, (unsigned int)s->http_threads,
 		MHD_OPTION_CONNECTION_LIMIT, (unsigned int)s->max_connections,
 		MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)IDLE_TIMEOUT_S,
-		MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-		(size_t)CONNECTION_MEMORY_BYTES, MHD_OPTION_STRICT_FOR_CLIENT,
-		1, MHD_OPTION_END);
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT, connection_memory(s),
+		MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
 	if (f->daemon)
 		return f;
 	g_free(f);
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -18,7 +18,8 @@
 	"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"                             \
 	"Celeryglade-Attempt: %s\r\n\r\nok"
 
-#define FILLERS 8 /* neon takes no line of more than 8 KiB */
+#define FILLERS		  8 /* neon takes no line of more than 8 KiB */
+#define RESPONSE_HEAD_MAX ((size_t)23 * 1024)
 
 struct fixture {
 	struct raw_server server;
@@ -27,6 +28,7 @@
 	struct cg_service service;
 	struct cg_server srv;
 	struct cg_route route;
+	struct cg_settings settings;
 	struct cg_proxy proxy;
 	struct cg_request *request;
 };
@@ -40,6 +42,8 @@
 	if (!f || raw_server_start(&f->server))
 		return -1;
 	cg_clock_init_boot(&f->clk);
+	f->settings.response_head_max_bytes = RESPONSE_HEAD_MAX;
+	f->proxy.settings = &f->settings;
 	f->proxy.clk = &f->clk;
 	f->connections = cg_connections_new(&f->clk);
 	strcpy(f->srv.name, "s");
@@ -207,9 +211,8 @@
 	struct fixture *f = *state;
 	/* What counts besides the values of the filler fields. */
 	const size_t rest = FILLERS * strlen("X-Filler-0: \r\n");
-	const size_t each = (CG_RESPONSE_HEAD_MAX_BYTES - rest) / FILLERS;
-	const size_t last =
-		CG_RESPONSE_HEAD_MAX_BYTES - rest - (FILLERS - 1) * each;
+	const size_t each = (RESPONSE_HEAD_MAX - rest) / FILLERS;
+	const size_t last = RESPONSE_HEAD_MAX - rest - (FILLERS - 1) * each;
 
 	for (size_t above = 0; above <= 1; above++) {
 		GString *answer = g_string_new("HTTP/1.1 200 OK\r\n");
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -72,6 +72,8 @@
 	assert_int_equal(x->s.http_threads, 4);
 	assert_int_equal(x->s.max_connections, 4000);
 	assert_int_equal(x->s.max_body_bytes, 1048576);
+	assert_int_equal(x->s.request_head_max_bytes, 30720);
+	assert_int_equal(x->s.response_head_max_bytes, 23552);
 	assert_int_equal(x->s.gossip_ms, 500);
 	assert_int_equal(x->s.poll_ms, 10000);
 	assert_int_equal(x->s.key_isolation_ms, 5000);
--- a/tests/test_system_bad_input.c
+++ b/tests/test_system_bad_input.c
@@ -20,6 +20,9 @@
 #define AUTH		 "Authorization: Bearer " KEY "\r\n"
 #define HEAD		 "Host: x\r\n" AUTH
 
+#define DAEMONS	     2
+#define SET_HEAD_MAX 60000 /* of the second one, from its settings */
+
 static struct fleet *f;
 
 static int setup(void **state)
@@ -31,6 +34,7 @@
 	if (fleet_apply_config(f))
 		return -1;
 	fleet_add_daemons(f, 1, 1, "\"max_body_bytes\": 1000");
+	fleet_add_daemon(f, "a", 0, "\"request_head_max_bytes\": 60000");
 	return fleet_wait_serving(f, "/visits", KEY, 20000);
 }
 
@@ -42,7 +46,7 @@
 
 /* Sends @p data and returns the status of the first response, or 0 if the
  * connection closes without one. */
-static int send_and_read_status(const char *data, size_t len)
+static int send_and_read_status(int daemon, const char *data, size_t len)
 {
 	struct sockaddr_in a = { .sin_family = AF_INET };
 	struct timeval limit = { .tv_sec = 5 };
@@ -51,7 +55,7 @@
 	int status = 0;
 
 	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	a.sin_port = htons((uint16_t)fleet_listen_port(f, 0));
+	a.sin_port = htons((uint16_t)fleet_listen_port(f, daemon));
 	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
 	assert_int_equal(connect(fd, (struct sockaddr *)&a, sizeof(a)), 0);
 	(void)!write(fd, data, len);
@@ -100,7 +104,7 @@
 	int before = executions();
 
 	for (size_t i = 0; i < sizeof(refused) / sizeof(refused[0]); i++) {
-		int status = send_and_read_status(refused[i].text,
+		int status = send_and_read_status(0, refused[i].text,
 						  strlen(refused[i].text));
 
 		if (status != refused[i].status)
@@ -112,7 +116,7 @@
 
 /* Returns the status of a request whose head needs @needed bytes, each field
  * counting FIELD_MEMORY besides its text. */
-static int status_of_head(size_t needed)
+static int status_of_head(int daemon, size_t needed)
 {
 	size_t rest = strlen("/visits"
 			     "Hostx"
@@ -121,7 +125,7 @@
 	char *cookie = g_strnfill(needed - rest, 'a');
 	char *text = g_strdup_printf(
 		"GET /visits HTTP/1.1\r\n" HEAD "Cookie: %s\r\n\r\n", cookie);
-	int status = send_and_read_status(text, strlen(text));
+	int status = send_and_read_status(daemon, text, strlen(text));
 
 	g_free(text);
 	g_free(cookie);
@@ -132,12 +136,15 @@
  * a longer head of a request was refused with 413. */
 static void long_heads_are_served_or_refused(void **state)
 {
+	static const size_t most[] = { REQUEST_HEAD_MAX, SET_HEAD_MAX };
 	int before;
 
-	assert_int_equal(status_of_head(REQUEST_HEAD_MAX), 200);
-	before = executions();
-	assert_int_equal(status_of_head(REQUEST_HEAD_MAX + 1), 431);
-	assert_int_equal(executions(), before);
+	for (int i = 0; i < DAEMONS; i++) {
+		assert_int_equal(status_of_head(i, most[i]), 200);
+		before = executions();
+		assert_int_equal(status_of_head(i, most[i] + 1), 431);
+		assert_int_equal(executions(), before);
+	}
 }
 
 static void oversized_and_random_input_does_not_stop_the_daemon(void **state)
@@ -148,13 +155,13 @@
 	memset(big, 'a', 100000);
 	for (int k = 0; k < 5; k++)
 		big[k] = "GET /"[k];
-	assert_true(send_and_read_status(big, 100000) >= 400 ||
-		    !send_and_read_status(big, 100000));
+	assert_true(send_and_read_status(0, big, 100000) >= 400 ||
+		    !send_and_read_status(0, big, 100000));
 	for (int i = 0; i < 100; i++) {
 		for (int k = 0; k < 500; k++)
 			big[k] = (char)rand_r(&seed);
 		big[499] = '\n';
-		send_and_read_status(big, 500);
+		send_and_read_status(0, big, 500);
 	}
 	free(big);
 	assert_int_equal(fleet_request(f, 0, "GET", "/visits", KEY), 200);
