Take an answer with an odd status for no answer

Cause: a server's answer with status 099 was passed on. Clients take it for an interim response and wait; the caller of the first run of test_system_answers had none after 8 s. celerygladed accepted such an answer too, and libmicrohttpd closes the connection instead of sending it.

--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -37,6 +37,9 @@
  * this time: on a new connection such a response is known to be the own one. */
 #define UNIDENTIFIED_MS 30000
 #define READ_SIZE	16384
+/* Status codes that HTTP defines the meaning of. */
+#define STATUS_MIN 100
+#define STATUS_MAX 599
 
 struct cgw_conn {
 	struct cgw_io io;
@@ -499,6 +502,13 @@
 			return true;
 		}
 		call->status = c->parser.status_code;
+		/* Clients take a lower one for an interim response. */
+		if (call->status < STATUS_MIN || call->status > STATUS_MAX) {
+			cg_info("cut off %s: status %d", c->address,
+				call->status);
+			finish_call(call, CGW_CALL_MALFORMED, false);
+			return true;
+		}
 		if (is_own_response(call, call->status)) {
 			http_parser_pause(&c->parser, 0);
 			/* Bytes after the response belong to no request, and
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -21,6 +21,8 @@
 
 #define MAX_RESPONSE_BYTES (8 << 20)
 #define READ_BLOCK_BYTES   16384
+#define FINAL_STATUS_MIN   200
+#define STATUS_MAX	   599
 
 static int round_up_to_seconds(cg_ms ms)
 {
@@ -168,6 +170,11 @@
 {
 	int status = ne_get_status(req)->code;
 
+	/* A response with another status cannot be sent to the caller. */
+	if (status < FINAL_STATUS_MIN || status > STATUS_MAX) {
+		out->outcome = CG_ATTEMPT_MISMATCHED;
+		return;
+	}
 	out->draining = header_is_set(req, "Draining");
 	if (is_mismatched(req, r, attempt_id)) {
 		out->outcome = CG_ATTEMPT_MISMATCHED;
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -236,6 +236,20 @@
 	}
 }
 
+/* Regression: libmicrohttpd sends no status below 100, so that the caller's
+ * connection was closed without a response. */
+static void odd_status_is_not_passed_on(void **state)
+{
+	assert_int_equal(attempt_with_response(*state,
+					       "HTTP/1.1 099 Odd\r\n"
+					       "Content-Length: 2\r\n\r\nok"),
+			 CG_ATTEMPT_MISMATCHED);
+	assert_int_equal(attempt_with_response(*state,
+					       "HTTP/1.1 600 Odd\r\n"
+					       "Content-Length: 2\r\n\r\nok"),
+			 CG_ATTEMPT_MISMATCHED);
+}
+
 static void shed_requires_not_run_header(void **state)
 {
 	struct fixture *f = *state;
@@ -315,6 +329,7 @@
 		TEST(incomplete_response_is_truncated),
 		TEST(response_to_another_attempt_is_mismatched),
 		TEST(longest_response_head_is_passed_on),
+		TEST(odd_status_is_not_passed_on),
 		TEST(shed_requires_not_run_header),
 		TEST(condemned_connection_is_not_reused),
 		TEST(response_cut_at_any_byte_is_no_response),
--- a/tests/test_gateway_upstream.c
+++ b/tests/test_gateway_upstream.c
@@ -6,6 +6,7 @@
 #include <stdint.h>
 /* cmocka needs the headers above it. */
 #include <cmocka.h>
+#include <limits.h>
 #include <string.h>
 
 #include "gateway/upstream.h"
@@ -439,6 +440,31 @@
 	teardown(&f);
 }
 
+/* Regression: a status below 100 was passed on, which clients take for an interim
+ * response: they waited for the final one. */
+static void odd_status_is_no_response(void **state)
+{
+	static const char *const odd[] = { "000", "099", "600", "999" };
+	struct fixture f;
+
+	(void)state;
+	setup(&f);
+	f.server.mode = SCRIPTED_CUT;
+	f.server.cut_at = INT_MAX;
+	for (size_t i = 0; i < G_N_ELEMENTS(odd); i++) {
+		char *text = g_strdup_printf(
+			"HTTP/1.1 %s Odd\r\nX-Request-Id: @\r\n"
+			"X-Response-Seal: s\r\nContent-Length: 0\r\n\r\n",
+			odd[i]);
+
+		f.server.cut_text = text;
+		call(&f, "a1");
+		assert_int_equal(f.call.outcome, CGW_CALL_MALFORMED);
+		g_free(text);
+	}
+	teardown(&f);
+}
+
 /* A trailer field X-Not-Run or seal is no part of what the head states. */
 static void trailer_fields_prove_nothing(void **state)
 {
@@ -481,6 +507,7 @@
 		cmocka_unit_test(copy_of_a_rejection_proves_nothing),
 		cmocka_unit_test(rejection_without_an_id_does_not_hang),
 		cmocka_unit_test(connection_carries_an_id_once),
+		cmocka_unit_test(odd_status_is_no_response),
 		cmocka_unit_test(trailer_fields_prove_nothing),
 		cmocka_unit_test(response_cut_at_any_byte_is_no_response),
 		cmocka_unit_test(call_returns_the_whole_response),
