Split the broker's source by decision

Change: broker_placement.c (which server or domain), broker_admission.c (which requests wait or are refused), broker_servers.c (servers and hand-over) and broker_domains.c (reports of other domains). Functions that several files use get the prefix cgw_. No change of behaviour.

--- a/src/gateway/broker_internal.h
+++ b/src/gateway/broker_internal.h
@@ -118,6 +118,51 @@
 	double share;
 };
 
+/* broker.c */
+/** Returns a service; adds it if it is new. */
+struct cgw_service *cgw_broker_get_service(struct cgw_broker *b,
+					   const char *name);
+/** Returns the key of a grant or a waiter; the caller frees it. */
+char *cgw_grant_key(const char *daemon, uint64_t id);
+/** Removes and frees a grant; its server has one request less in flight. */
+void cgw_grant_end(struct cgw_broker *b, struct cgw_grant *g);
+/** Removes and frees a waiter. */
+void cgw_waiter_end(struct cgw_broker *b, struct cgw_waiter *w);
+
+/* broker_placement.c: which server or failure domain gets a request */
+/** Creates a grant that is not in the tables of the broker yet. */
+struct cgw_grant *cgw_grant_new(const char *daemon, uint64_t id,
+				const char *route, struct cgw_server *s,
+				cg_ms typical, cg_ms overdue);
+/** Counts the slots of healthy servers, free or not. */
+int64_t cgw_service_healthy_slots(struct cgw_service *s, cg_ms now);
+/** Grants a slot or redirects the request. Returns whether it did either. */
+bool cgw_broker_grant_or_redirect(struct cgw_broker *b, struct cgw_service *s,
+				  const struct cgw_slot_request *request,
+				  cg_ms now);
+
+/* broker_admission.c: which requests wait and which are refused */
+/** Returns the account's recent server time in ms. */
+double *cgw_broker_usage(struct cgw_broker *b, const char *account, cg_ms now);
+void cgw_broker_refuse(struct cgw_broker *b,
+		       const struct cgw_slot_request *request,
+		       enum cg_reason reason, cg_ms retry_after, cg_ms now);
+/** Withdraws a request that waits for a rate token. */
+void cgw_broker_remove_token_waiter(struct cgw_broker *b, const char *daemon,
+				    uint64_t id);
+void cgw_broker_retry_token_waiters(struct cgw_broker *b, cg_ms now);
+/** Grants free slots to waiting requests. */
+void cgw_broker_grant_waiting(struct cgw_broker *b, struct cgw_service *s,
+			      cg_ms now);
+/** Refuses the requests that wait for a service whose servers all want a
+ * rest. */
+void cgw_broker_refuse_waiting_during_rest(struct cgw_broker *b,
+					   struct cgw_service *s, cg_ms now);
+/** Refuses the waiting requests that cannot meet their deadline any more. */
+void cgw_broker_refuse_expired(struct cgw_broker *b, struct cgw_service *s,
+			       cg_ms now);
+
+/* broker_trust.c */
 /** Returns the present trust of a server. Ends an ejection that is over. */
 enum cgw_trust cgw_server_trust(struct cgw_server *s, cg_ms now);
 /** Returns the probability that the server is in a failure episode. */
