--- a/include/gateway/table.h
+++ b/include/gateway/table.h
@@ -32,6 +32,7 @@
 	char *host; /**< Lower case, without a port. */
 	char *prefix; /**< Of the path; begins and ends with a slash. */
 	bool idempotent; /**< Requests may run more than once. */
+	bool bulk; /**< Responses are large: downloads. */
 	bool open; /**< Requests need no API key. */
 	/** Latency objective: a later response is worth less to operators. */
 	cg_ms objective_ms;
--- a/tests/test_platform_format.c
+++ b/tests/test_platform_format.c
@@ -26,7 +26,10 @@
 	"\"attempts\":2}},"
 	"{\"name\":\"r2\",\"kind\":\"stream\",\"public\":true,\"match\":{"
 	"\"path_prefix\":\"/q/\"},\"action\":{\"service\":\"s1\","
-	"\"timeout_ms\":3000}}]}],"
+	"\"timeout_ms\":3000}},"
+	"{\"name\":\"r3\",\"kind\":\"download\",\"match\":{"
+	"\"path_prefix\":\"/d/\"},\"action\":{\"service\":\"s1\","
+	"\"timeout_ms\":3000,\"attempts\":2}}]}],"
 	"\"clusters\":[{\"name\":\"s1\",\"health_path\":\"/health\"}]}}";
 
 static struct cgw_table *read_text(const char *text, char **why)
@@ -47,6 +50,7 @@
 	r = cgw_table_find_route(t, "a.example", "/p/x");
 	assert_string_equal(r->name, "r1");
 	assert_true(r->idempotent);
+	assert_false(r->bulk);
 	assert_false(r->open);
 	assert_int_equal(r->targets->len, 2);
 	assert_int_equal(r->weight_sum, 100);
@@ -60,6 +64,10 @@
 	assert_true(r->open);
 	assert_int_equal(r->max_attempts, 1);
 	assert_int_equal(r->objective_ms, 3000);
+	/* A download that failed may be sent to another server. */
+	r = cgw_table_find_route(t, "a.example", "/d/x");
+	assert_true(r->idempotent);
+	assert_true(r->bulk);
 	a = cgw_table_find_account_by_key(t, "kb");
 	assert_string_equal(a->name, "t1");
 	assert_int_equal(a->rate_milli, 39500);
