Reject a response whose status does not have three digits

Cause: 000 and 099 were refused already, on both paths. Of 20 further statuses one passed in the gateway: the parser reads "0200" as 200, and the caller got it as an answer. Change: the client checks the digits of the status line itself. Tests of both programs cover 000, 0, 00, 099, 20, 600, 999, 1000, 0200, 00200, signs, blanks and letters. celerygladed still accepts more than one blank before three digits, as neon does.

--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -38,8 +38,9 @@
 #define UNIDENTIFIED_MS 30000
 #define READ_SIZE	16384
 /* Status codes that HTTP defines the meaning of. */
-#define STATUS_MIN 100
-#define STATUS_MAX 599
+#define STATUS_MIN    100
+#define STATUS_MAX    599
+#define STATUS_DIGITS 3
 
 struct cgw_conn {
 	struct cgw_io io;
@@ -56,6 +57,12 @@
 	bool complete; /* a whole response has been parsed */
 	bool response_started; /* at least one byte has been received */
 	bool no_reuse;
+	enum {
+		STATUS_BEFORE, /* in the protocol version */
+		STATUS_WITHIN,
+		STATUS_READ
+	} status_state;
+	unsigned int status_digits; /* of the present response */
 	size_t out_pos;
 	int64_t buffered; /* bytes of the present body */
 	cg_ms last_used;
@@ -383,6 +390,8 @@
 	c->complete = false;
 	c->head_complete = false;
 	c->in_value = false;
+	c->status_state = STATUS_BEFORE;
+	c->status_digits = 0;
 	g_string_truncate(c->name, 0);
 	g_string_truncate(c->value, 0);
 	cgw_call_clear(c->call);
@@ -482,6 +491,24 @@
 		c->no_reuse = true;
 }
 
+/* Follows the status line. Returns false if the status does not have three
+ * digits: the parser takes "0200" for 200. */
+static bool check_status_line(struct cgw_conn *c, const char *data, size_t len)
+{
+	for (size_t i = 0; i < len && c->status_state != STATUS_READ; i++) {
+		if (c->status_state == STATUS_BEFORE) {
+			if (data[i] == ' ')
+				c->status_state = STATUS_WITHIN;
+		} else if (g_ascii_isdigit(data[i])) {
+			c->status_digits++;
+		} else {
+			c->status_state = STATUS_READ;
+			return c->status_digits == STATUS_DIGITS;
+		}
+	}
+	return c->status_digits <= STATUS_DIGITS;
+}
+
 /* Parses received bytes; @data is NULL at the end of the connection. Returns
  * true if the call has ended. */
 static bool parse(struct cgw_conn *c, const char *data, size_t len)
@@ -489,9 +516,17 @@
 	struct cgw_call *call = c->call;
 
 	while (len || !data) {
-		size_t n = http_parser_execute(&c->parser, &parser_settings,
-					       data, len);
+		size_t n;
 
+		if (data && !check_status_line(c, data, len)) {
+			cg_info("cut off %s: the status does not have three "
+				"digits",
+				c->address);
+			finish_call(call, CGW_CALL_MALFORMED, false);
+			return true;
+		}
+		n = http_parser_execute(&c->parser, &parser_settings, data,
+					len);
 		if (!c->complete) {
 			if (HTTP_PARSER_ERRNO(&c->parser) == HPE_OK && data)
 				return false;
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -240,6 +240,26 @@
  * connection was closed without a response. */
 static void odd_status_is_not_passed_on(void **state)
 {
+	static const char *const odd[] = {
+		"000",	"0",	"099",	"600", "1000", "0200", "2000",
+		"+200", "-200", "2 00", "2x0", "abc",  "",     "200x",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(odd); i++) {
+		char *text = g_strdup_printf("HTTP/1.1 %s Odd\r\n"
+					     "Content-Length: 2\r\n\r\nok",
+					     odd[i]);
+		enum cg_attempt_outcome outcome =
+			attempt_with_response(*state, text);
+
+		if (outcome == CG_ATTEMPT_RESPONDED ||
+		    outcome == CG_ATTEMPT_SHED)
+			print_message("status \"%s\" was accepted\n", odd[i]);
+		assert_int_not_equal(outcome, CG_ATTEMPT_RESPONDED);
+		assert_int_not_equal(outcome, CG_ATTEMPT_SHED);
+		g_free(text);
+	}
+	/* Their status is a number, so that the reason is known. */
 	assert_int_equal(attempt_with_response(*state,
 					       "HTTP/1.1 099 Odd\r\n"
 					       "Content-Length: 2\r\n\r\nok"),
--- a/tests/test_gateway_upstream.c
+++ b/tests/test_gateway_upstream.c
@@ -444,7 +444,11 @@
  * response: they waited for the final one. */
 static void odd_status_is_no_response(void **state)
 {
-	static const char *const odd[] = { "000", "099", "600", "999" };
+	static const char *const odd[] = {
+		"000",	"0",	"00",	 "099",	 "20",	  "600",  "999",
+		"1000", "0200", "00200", "2000", "+200",  "-200", " 200",
+		"2 00", "2x0",	"abc",	 "",	 "\t200", "200x",
+	};
 	struct fixture f;
 
 	(void)state;
@@ -459,6 +463,9 @@
 
 		f.server.cut_text = text;
 		call(&f, "a1");
+		if (f.call.outcome != CGW_CALL_MALFORMED)
+			print_message("status \"%s\" was read as %d\n", odd[i],
+				      f.call.status);
 		assert_int_equal(f.call.outcome, CGW_CALL_MALFORMED);
 		g_free(text);
 	}
