Test what many callers with large bodies do to the memory of a process

Cause: in a trial such callers ended a process, which ran out of memory. These tests come before the change of the product; callers and bounds stay as they are.

--- a/tests/support/gateway_fleet.c
+++ b/tests/support/gateway_fleet.c
@@ -98,6 +98,14 @@
 	g_free(program);
 }
 
+char *gf_daemon_ip(unsigned int daemon)
+{
+	char ip[32];
+
+	daemon_ip(daemon, ip);
+	return g_strdup(ip);
+}
+
 void gf_put_server(struct gateway_fleet *f, unsigned int i, const char *state)
 {
 	char *spec = g_strdup_printf(
@@ -137,14 +145,15 @@
 	f->version += 3;
 	spec = g_strdup_printf(
 		"{\"version\":\"r%u\",\"limits\":{\"max_header_bytes\":16384,"
-		"\"max_body_bytes\":100000,\"header_timeout_ms\":3000,"
+		"\"max_body_bytes\":%u,\"header_timeout_ms\":3000,"
 		"\"idle_timeout_ms\":15000},\"tenants\":[{\"name\":\"acc\","
 		"\"api_keys\":[%s],\"priority\":1,\"rate_per_s\":%d,"
 		"\"burst\":%d}],\"listeners\":[{\"host\":\"h.example\","
 		"\"rules\":[%s,%s,%s%s]}],\"clusters\":[{\"name\":\"svc\","
 		"\"health_path\":\"/health\",\"max_conns\":100}]}",
-		f->version, key ? "\"k1\"" : "", rate, burst, safe, unsafe,
-		open_rule, extra);
+		f->version, f->max_body_bytes ? f->max_body_bytes : 100000,
+		key ? "\"k1\"" : "", rate, burst, safe, unsafe, open_rule,
+		extra);
 	objects_put(f->store, "config", "main", spec);
 	g_free(spec);
 	g_free(safe);
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -24,6 +24,8 @@
 	/** Processes that server i has had before; see gf_restart_server(). */
 	unsigned int restarts[GF_SERVERS];
 	unsigned int version; /**< Of the last configuration written. */
+	/** Largest body in the next configuration; 0: 100,000 bytes. */
+	unsigned int max_body_bytes;
 	/** Settings of the daemons from their next start on; 0: left out. */
 	double cpu_share[GF_DAEMONS];
 	/** Limit of a daemon's descriptors from its next start on; 0: the
@@ -77,6 +79,9 @@
 struct gf_response gf_call(struct gateway_fleet *f, const struct gf_request *r);
 /** Sends a GET request for /safe/x with key "k1" and a new request id. */
 struct gf_response gf_get(struct gateway_fleet *f, unsigned int daemon);
+/** Returns the IP address of a daemon's listener for callers; its port is
+ * the first of @c ports. The caller frees it. */
+char *gf_daemon_ip(unsigned int daemon);
 /** Opens a connection to a daemon and sends @p text. Returns the socket, which
  * the caller closes. */
 int gf_send_raw(struct gateway_fleet *f, unsigned int daemon, const char *text);
