Separate contact and list in store_outage_ends_no_ownership

Traced: on this machine the contact and the list that lacks the member fall into one millisecond. A contact in that millisecond counts as later than the list, on purpose, so the confirmation that the member is gone began again. A member that was listed again is not used wrongly by that; it is confirmed one list later. Change: the test waits 5 ms between the two, as owner_not_proved_gone_is_not_replaced does. What it asserts is unchanged.

--- a/tests/test_shards.c
+++ b/tests/test_shards.c
@@ -433,6 +433,9 @@
 	list_and_connect(f);
 	cg_shards_step(f->a.shards);
 	f->fake->down = true;
+	/* A contact in the same millisecond as the list counts as a later one
+	 * and restarts the confirmation. */
+	cg_sleep(5);
 	apply_list(f, &f->a, 2, "a");
 	cg_sleep(150);
 	apply_list(f, &f->a, 3, "a");
