Place requests by expected work and outstanding work of servers

Cause: placement depends on the number of requests in flight and not on their cost, so that a short request is sent beside a long one while another server is nearly idle, and a slow server gets as much as a fast one.

Change: work_model.c estimates the work of a request by route, method, size class, shape of the path and account; each level is shrunk towards the one above. Servers have a bounded speed relative to their service. With the new setting placement (least_loaded, expected_finish, auto) a server is chosen by the time at which the request would finish; auto does so while the configuration has a bulk route. Slot requests carry method, size class and shape (since version 5). The daemons that lead next keep a copy of the estimates, fetched from the broker over the signed handoff. cgw_broker_explain() explains a placement by the same code.

--- a/include/celeryglade/counters.h
+++ b/include/celeryglade/counters.h
@@ -51,7 +51,11 @@
 	X(SERVERS_WANTED_REST, "servers_wanted_rest")                          \
 	X(RETRY_AFTER_IGNORED, "retry_after_ignored")                          \
 	X(DRAIN_NOTICES, "drain_notices")                                      \
-	X(REVOCATION_NOTICES, "revocation_notices")
+	X(REVOCATION_NOTICES, "revocation_notices")                            \
+	X(WORK_SAMPLES, "work_samples")                                        \
+	X(WORK_SAMPLES_CLIPPED, "work_samples_clipped")                        \
+	X(WORK_KEYS_ADDED, "work_keys_added")                                  \
+	X(WORK_KEYS_REPLACED, "work_keys_replaced")
 
 /** The counters of CG_COUNTERS, then one for each reason of a refusal, then one
  * for each retry reason. */
--- a/include/gateway/broker.h
+++ b/include/gateway/broker.h
@@ -18,6 +18,7 @@
 #include "celeryglade/outcome.h"
 #include "gateway/quota.h"
 #include "gateway/server_notice.h"
+#include "gateway/table.h"
 
 #define CGW_NAME_MAX 63
 /** Servers that one slot request can exclude. */
@@ -53,6 +54,10 @@
 	cg_ms deadline; /**< Of the caller. */
 	char avoid[CGW_AVOID_MAX][CGW_NAME_MAX + 1]; /**< Excluded servers. */
 	unsigned int avoid_count;
+	/** For the estimate of its work; 0 if the daemon is of an older
+	 * version. See struct cgw_work_traits. */
+	unsigned int method, size_class;
+	uint32_t shape;
 };
 
 enum cgw_slot_decision_kind {
@@ -96,6 +101,15 @@
 	CGW_RESULT_COUNT,
 };
 
+/** How a server is chosen among those that may get a request. */
+enum cgw_placement {
+	/** CGW_PLACEMENT_EXPECTED_FINISH while the configuration has a bulk
+	 * route, else CGW_PLACEMENT_LEAST_LOADED. */
+	CGW_PLACEMENT_AUTO,
+	CGW_PLACEMENT_LEAST_LOADED, /**< By requests in flight per slot. */
+	CGW_PLACEMENT_EXPECTED_FINISH, /**< By expected work and speed. */
+};
+
 struct cgw_broker_settings {
 	const char *domain; /**< Not copied. */
 	unsigned int domains;
@@ -105,6 +119,7 @@
 	/** Share of a service's servers, over all domains, that is never
 	 * ejected. */
 	double min_share;
+	enum cgw_placement placement;
 	/** Returns whether a daemon has sent a message since @p since. If not,
 	 * asks it for one. Called with the argument of the decisions; NULL if
 	 * all daemons always are in touch. */
@@ -129,6 +144,10 @@
 /** Returns the account rates of the broker, which owns them. */
 struct cgw_quota *cgw_broker_quota(struct cgw_broker *b);
 
+/** Configures account rates and placement by a version of the configuration. */
+void cgw_broker_configure(struct cgw_broker *b, const struct cgw_table *t,
+			  cg_ms now);
+
 /** Limits rates and retries to this share of the domain's; see
  * cgw_quota_broker_share(). */
 void cgw_broker_set_share(struct cgw_broker *b, double share);
@@ -225,6 +244,53 @@
 	CGW_TRUST_EJECTED,
 };
 
+/** Why a server is not eligible for a request. */
+enum cgw_ineligible {
+	CGW_ELIGIBLE,
+	CGW_INELIGIBLE_LEAVING,
+	CGW_INELIGIBLE_RESTS, /**< It wants no requests for some time. */
+	CGW_INELIGIBLE_SHED, /**< It has just shed a request. */
+	CGW_INELIGIBLE_EJECTED,
+	CGW_INELIGIBLE_EXCLUDED, /**< By the request. */
+	/** All slots are in use; of a doubted server, the only one. */
+	CGW_INELIGIBLE_NO_SLOT,
+};
+
+/** A server as placement sees it. */
+struct cgw_placement_candidate {
+	char server[CGW_NAME_MAX + 1];
+	enum cgw_ineligible reason;
+	enum cgw_trust trust;
+	/** The least trust that the request is placed with prefers it to all
+	 * servers of less trust. */
+	enum cgw_trust rank_trust;
+	double failing_share; /**< Probability of a failure episode. */
+	double outstanding_ms; /**< Work in flight per slot and speed. */
+	double slowness; /**< Time as a multiple of the service's mean. */
+	double finish_ms; /**< Until the request would finish. */
+	double score; /**< The lowest is chosen. */
+	bool chosen;
+};
+
+/** Explains the placement of a request as if it came now, by the code that
+ * places requests; grants nothing. Fills @p out with at most @p max servers of
+ * the service in this domain and returns their number. */
+size_t cgw_broker_explain(struct cgw_broker *b,
+			  const struct cgw_slot_request *request,
+			  struct cgw_placement_candidate *out, size_t max,
+			  cg_ms now);
+/** Returns the placement in force; never CGW_PLACEMENT_AUTO. */
+enum cgw_placement cgw_broker_placement(const struct cgw_broker *b);
+
+/** Encodes what this broker has learnt of the work of requests and the speed of
+ * servers, for the daemons that lead next; the best known first, at most about
+ * 50 kB. Returns false if there is nothing. */
+bool cgw_broker_export_work(struct cgw_broker *b, GByteArray *out, cg_ms now);
+/** Adds what another broker has learnt, unless more is known here. Returns 0, or
+ * -1 if the data is malformed. */
+int cgw_broker_import_work(struct cgw_broker *b, const void *data, size_t len,
+			   cg_ms now);
+
 /** Returns the enum cgw_trust of a server, or -1 if it is unknown. */
 int cgw_broker_trust(struct cgw_broker *b, const char *server, cg_ms now);
 /** Returns the number of ejections since the broker was created. */
--- a/include/gateway/gateway_settings.h
+++ b/include/gateway/gateway_settings.h
@@ -9,6 +9,7 @@
 #include <stdbool.h>
 
 #include "celeryglade/clock.h"
+#include "gateway/broker.h"
 #include "internal/jsonc.h"
 
 struct cgw_settings {
@@ -50,6 +51,7 @@
 	int64_t request_head_max_bytes;
 	int64_t response_head_max_bytes;
 	double min_share; /**< Share of a service's servers never ejected. */
+	enum cgw_placement placement;
 	cg_ms grace_ms; /**< Time from SIGTERM to SIGKILL. */
 	char *log_level;
 };
--- a/include/gateway/handoff.h
+++ b/include/gateway/handoff.h
@@ -3,6 +3,7 @@
  * What one daemon has read from the store is handed on to the others of its
  * failure domain, so that calls to the store grow with domains and changes and
  * not with daemons: the configuration as it was read, and the list of servers.
+ * So are the broker's estimates of work, for the daemons that lead next.
  * Requests and responses carry a message authentication code under the fleet's
  * secret; the configuration contains API keys.
  */
@@ -33,6 +34,9 @@
 			      uint64_t version, cg_ms proved_at);
 /** Fetches the list of servers, unless a fetch is running. */
 void cgw_handoff_fetch_servers(struct cgw_handoff *h, struct in_addr from);
+/** Fetches what the broker of this failure domain has learnt of the work of
+ * requests, unless a fetch is running. */
+void cgw_handoff_fetch_work(struct cgw_handoff *h, struct in_addr from);
 /** Returns how many fetches of the configuration have failed since the last
  * one that succeeded. */
 unsigned int cgw_handoff_failures(const struct cgw_handoff *h);
--- a/include/gateway/table.h
+++ b/include/gateway/table.h
@@ -104,6 +104,8 @@
 /** Returns the accounts by key; owned by the table. */
 GHashTable *cgw_table_accounts(const struct cgw_table *t);
 size_t cgw_table_route_count(const struct cgw_table *t);
+/** Returns whether any route is a bulk route. */
+bool cgw_table_has_bulk_route(const struct cgw_table *t);
 
 /** Returns the service that @p number selects in proportion to the weights;
  * @p number is uniformly distributed from 0 to 2^32 - 1. */
--- a/src/gateway/broker.c
+++ b/src/gateway/broker.c
@@ -1,6 +1,8 @@
 #define CG_PART "broker"
 #include "broker_internal.h"
 
+#include "internal/logging.h"
+
 /* A grant whose release was lost ends this long after the caller's deadline. */
 #define GRANT_GRACE_MS 1000
 
@@ -40,6 +42,12 @@
 	struct cgw_broker *b = g_new0(struct cgw_broker, 1);
 
 	b->settings = *s;
+	b->placement = s->placement == CGW_PLACEMENT_EXPECTED_FINISH
+			       ? CGW_PLACEMENT_EXPECTED_FINISH
+			       : CGW_PLACEMENT_LEAST_LOADED;
+	b->work = cgw_work_model_new();
+	b->former_speeds =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	if (!b->settings.domains)
 		b->settings.domains = 1;
 	b->decide = decide;
@@ -75,6 +83,8 @@
 	g_hash_table_unref(b->latencies);
 	g_hash_table_unref(b->usage);
 	cgw_quota_free(b->quota);
+	cgw_work_model_free(b->work);
+	g_hash_table_unref(b->former_speeds);
 	g_free(b);
 }
 
@@ -83,6 +93,33 @@
 	return b->quota;
 }
 
+void cgw_broker_configure(struct cgw_broker *b, const struct cgw_table *t,
+			  cg_ms now)
+{
+	static const char *const names[] = {
+		[CGW_PLACEMENT_AUTO] = "auto",
+		[CGW_PLACEMENT_LEAST_LOADED] = "least_loaded",
+		[CGW_PLACEMENT_EXPECTED_FINISH] = "expected_finish",
+	};
+	enum cgw_placement p = b->settings.placement;
+
+	cgw_quota_configure(b->quota, t, now);
+	if (p == CGW_PLACEMENT_AUTO)
+		p = cgw_table_has_bulk_route(t) ? CGW_PLACEMENT_EXPECTED_FINISH
+						: CGW_PLACEMENT_LEAST_LOADED;
+	if (p == b->placement)
+		return;
+	cg_info("placement is %s from now on: setting %s, configuration "
+		"version %" G_GUINT64_FORMAT,
+		names[p], names[b->settings.placement], cgw_table_version(t));
+	b->placement = p;
+}
+
+enum cgw_placement cgw_broker_placement(const struct cgw_broker *b)
+{
+	return b->placement;
+}
+
 void cgw_broker_set_share(struct cgw_broker *b, double share)
 {
 	b->share = share;
@@ -173,8 +210,10 @@
 	if (!g)
 		return;
 	s = g->server->service;
-	if (result == CGW_RESULT_SERVED)
+	if (result == CGW_RESULT_SERVED) {
 		cgw_route_latency_record(b, g->route, elapsed);
+		cgw_grant_record_work(b, g, elapsed, now);
+	}
 	cgw_server_record_result(b, g, result, elapsed, now);
 	record_outcome(g, result, now);
 	cgw_grant_end(b, g);
--- a/src/gateway/broker_internal.h
+++ b/src/gateway/broker_internal.h
@@ -11,6 +11,7 @@
 #include "broker_evidence.h"
 #include "broker_floor.h"
 #include "gateway/broker.h"
+#include "gateway/work_model.h"
 
 /** Latency of the served requests of a route. */
 struct cgw_route_latency {
@@ -29,6 +30,7 @@
 	GHashTable *domain_reports; /**< domain to struct cgw_domain_report */
 	int64_t fleet_servers; /**< Of all domains, without leaving ones. */
 	struct cgw_failure_model failures;
+	struct cgw_work_speed speed;
 	struct cgw_outcome_window outcomes; /**< Of this domain's requests. */
 	/** Runs short: too many of its requests are not served. */
 	bool is_short;
@@ -71,6 +73,7 @@
 	bool said_leaving; /**< By itself; its entry may not show it. */
 	cg_ms rest_until; /**< It wants no requests until then. */
 	cg_ms warmup_until;
+	struct cgw_work_speed speed;
 	cg_ms last_granted_at;
 	bool listed; /**< Found in the list that is being applied. */
 };
@@ -85,6 +88,9 @@
 	cg_ms started_at;
 	cg_ms overdue_at;
 	cg_ms deadline;
+	struct cgw_work_class class;
+	double work_ms; /**< Expected; 0 if no estimates are made. */
+	double slowness; /**< Of the server when it was granted. */
 	bool may_retry; /**< Another attempt may follow a failure. */
 	double added_suspicion; /**< By the age of this request. */
 	int age_stage; /**< Thresholds passed: 0, 1 overdue, 2 hung. */
@@ -101,6 +107,11 @@
 
 struct cgw_broker {
 	struct cgw_broker_settings settings;
+	enum cgw_placement placement; /**< In force; never AUTO. */
+	struct cgw_work_model *work;
+	/** Speeds of servers by id that are not listed yet, from the former
+	 * broker. */
+	GHashTable *former_speeds;
 	cgw_slot_decision_fn decide;
 	void *arg;
 	struct cgw_quota *quota;
@@ -134,6 +145,12 @@
 struct cgw_grant *cgw_grant_new(const char *daemon, uint64_t id,
 				const char *route, struct cgw_server *s,
 				cg_ms typical, cg_ms overdue);
+/** Sets the estimates of a grant, if the placement in force uses them. */
+void cgw_grant_estimate_work(struct cgw_broker *b, struct cgw_grant *g,
+			     const struct cgw_slot_request *request, cg_ms now);
+/** Records the work of a request that was served. */
+void cgw_grant_record_work(struct cgw_broker *b, struct cgw_grant *g,
+			   cg_ms elapsed, cg_ms now);
 /** Counts the slots of healthy servers, free or not. */
 int64_t cgw_service_healthy_slots(struct cgw_service *s, cg_ms now);
 /** Grants a slot or redirects the request. Returns whether it did either. */
@@ -204,6 +221,12 @@
 void cgw_route_latency_estimate(struct cgw_broker *b, const char *route,
 				cg_ms objective_ms, cg_ms *typical_ms,
 				cg_ms *overdue_ms);
+/** As above for one request, whose work may be more or less than that of others
+ * of its route. It counts as overdue no earlier than its route's requests. */
+void cgw_request_latency_estimate(struct cgw_broker *b,
+				  const struct cgw_slot_request *request,
+				  cg_ms now, cg_ms *typical_ms,
+				  cg_ms *overdue_ms);
 /** Records the latency of a served request. */
 void cgw_route_latency_record(struct cgw_broker *b, const char *route,
 			      cg_ms elapsed);
--- a/src/gateway/broker_placement.c
+++ b/src/gateway/broker_placement.c
@@ -1,6 +1,7 @@
 #define CG_PART "broker"
 #include "broker_internal.h"
 
+#include <math.h>
 #include <string.h>
 
 /* Free slots of another domain that are reserved for its own requests. */
@@ -16,6 +17,9 @@
 /* Load that a server adds which certainly fails, for requests that must not be
  * sent again. All others may show whether it does. */
 #define FAILING_WEIGHT 2.0
+/* Scores that differ by less than this share of the request's work are equal:
+ * work varies more than that from one request to the next. */
+#define NEAR_EQUAL_SHARE 0.1
 
 static bool excludes(const struct cgw_slot_request *request, const char *server)
 {
@@ -41,19 +45,16 @@
 	       CLAMP((double)(now - g->started_at) / typical - 1, 0.0, 2.0);
 }
 
-/* Returns the load by which servers are ranked; the lowest is chosen first. A
- * readmitted server is preferred for requests that can be retried on another
- * server; its penalty for all other requests falls over the ramp. */
-static double rank_load(struct cgw_server *s,
-			const struct cgw_slot_request *request, cg_ms now)
+/* Returns @load plus what is added for the trust in a server. A readmitted
+ * server is preferred for requests that can be
+ * retried on another server; its penalty for all other requests falls over the
+ * ramp. */
+static double add_trust_load(double load, struct cgw_server *s,
+			     const struct cgw_slot_request *request, cg_ms now)
 {
-	double load = (double)s->inflight / (double)s->facts.slots;
 	double ramp = (double)(now - s->readmitted_at) / READMISSION_RAMP_MS;
 	bool may_retry = request->idempotent && !request->retry;
 
-	load += age_load(s, now);
-	if (s->warmup_until > now)
-		load = 2 * load + 0.5;
 	if (cgw_server_is_due(s, may_retry, now))
 		load -= 1;
 	if (!may_retry && !s->probation)
@@ -65,43 +66,205 @@
 	return load;
 }
 
-/* Returns the least loaded server with a free slot among the most trusted ones,
- * or NULL. Servers less trusted than @p min_trust are not used. */
-static struct cgw_server *pick_server(struct cgw_service *s,
+/* Returns the load by which servers are ranked if placement is by requests in
+ * flight; the lowest is chosen first. */
+static double rank_load(struct cgw_server *s,
+			const struct cgw_slot_request *request, cg_ms now)
+{
+	double load = (double)s->inflight / (double)s->facts.slots;
+
+	load += age_load(s, now);
+	if (s->warmup_until > now)
+		load = 2 * load + 0.5;
+	return add_trust_load(load, s, request, now);
+}
+
+/* Returns what remains of the requests in flight at a server, per slot, in ms
+ * of its own time. Requests from before the placement changed have no
+ * estimate. */
+static double outstanding_ms(const struct cgw_broker *b,
+			     const struct cgw_server *s, double slowness,
+			     double unknown_work, cg_ms now)
+{
+	const struct cgw_grant *g;
+	double sum = 0;
+
+	cds_list_for_each_entry(g, &s->grants, node) {
+		double age = (double)(now - g->started_at) / slowness;
+
+		sum += cgw_work_remaining(b->work, &g->class,
+					  g->work_ms > 0 ? g->work_ms
+							 : unknown_work,
+					  fmax(0, age));
+	}
+	return sum * slowness / (double)s->facts.slots;
+}
+
+/* What placement knows of the request itself. */
+struct work {
+	struct cgw_work_class class;
+	double expected; /* ms */
+	double route; /* ms, of its route: the unit of the other loads */
+};
+
+static void estimate_work(const struct cgw_broker *b,
+			  const struct cgw_slot_request *request,
+			  struct work *w, cg_ms now)
+{
+	struct cgw_work_traits t = {
+		.route = request->route,
+		.account = request->account,
+		.method = request->method,
+		.size_class = request->size_class,
+		.shape = request->shape,
+	};
+
+	cgw_work_classify(&t, &w->class);
+	w->expected = cgw_work_estimate(b->work, &w->class,
+					request->objective_ms, now);
+	w->route = cgw_work_route_estimate(b->work, &w->class,
+					   request->objective_ms, now);
+}
+
+/* Fills in the times of a candidate, and the score by which candidates are
+ * ranked. Loads that are no work count as if each were one request of the
+ * route. */
+static void score_by_finish(const struct cgw_broker *b, struct cgw_server *s,
+			    const struct cgw_slot_request *request,
+			    const struct work *w,
+			    struct cgw_placement_candidate *c, cg_ms now)
+{
+	double load = age_load(s, now);
+
+	c->slowness = cgw_work_slowness(&s->speed, &s->service->speed, now);
+	c->outstanding_ms = outstanding_ms(b, s, c->slowness, w->route, now);
+	c->finish_ms = c->outstanding_ms + w->expected * c->slowness;
+	if (s->warmup_until > now) {
+		c->finish_ms *= 2;
+		load = 2 * load + 0.5;
+	}
+	c->score =
+		c->finish_ms + w->route * add_trust_load(load, s, request, now);
+}
+
+/* Returns why a server must not get the request, whatever its trust. */
+static enum cgw_ineligible ineligible(struct cgw_server *s,
+				      const struct cgw_slot_request *request,
+				      enum cgw_trust trust, cg_ms now)
+{
+	if (trust == CGW_TRUST_EJECTED)
+		return CGW_INELIGIBLE_EJECTED;
+	if (!cgw_server_has_room(s, now))
+		return s->facts.leaving	     ? CGW_INELIGIBLE_LEAVING
+		       : s->rest_until > now ? CGW_INELIGIBLE_RESTS
+		       : s->full_until > now ? CGW_INELIGIBLE_SHED
+					     : CGW_INELIGIBLE_NO_SLOT;
+	return excludes(request, s->facts.id) ? CGW_INELIGIBLE_EXCLUDED
+					      : CGW_ELIGIBLE;
+}
+
+static void evaluate(const struct cgw_broker *b, struct cgw_server *s,
+		     const struct cgw_slot_request *request,
+		     const struct work *w, struct cgw_placement_candidate *c,
+		     cg_ms now)
+{
+	c->trust = cgw_server_trust(s, now);
+	c->rank_trust = c->trust;
+	/* Probation counts as healthy here: one request at a time shows whether
+	 * the failure episode is over. */
+	if (c->trust == CGW_TRUST_PROBATION ||
+	    (c->trust == CGW_TRUST_SUSPECT &&
+	     cgw_server_is_due(s, request->idempotent && !request->retry, now)))
+		c->rank_trust = CGW_TRUST_HEALTHY;
+	c->reason = ineligible(s, request, c->trust, now);
+	if (c->reason != CGW_ELIGIBLE && !*c->server)
+		return;
+	if (b->placement == CGW_PLACEMENT_EXPECTED_FINISH)
+		score_by_finish(b, s, request, w, c, now);
+	else
+		c->score = rank_load(s, request, now);
+}
+
+/* Returns the best server with a free slot among the most trusted ones, or NULL.
+ * Servers less trusted than @p min_trust are not used. Among those whose scores
+ * differ by no more than the estimates are good for, the one that was granted
+ * least recently is chosen. */
+static struct cgw_server *pick_server(const struct cgw_broker *b,
+				      const struct cgw_service *s,
 				      const struct cgw_slot_request *request,
 				      enum cgw_trust min_trust, cg_ms now)
 {
+	bool by_finish = b->placement == CGW_PLACEMENT_EXPECTED_FINISH;
+	double *scores = g_newa(double, s->servers->len + 1);
+	int *trusts = g_newa(int, s->servers->len + 1);
+	int best_trust = CGW_TRUST_EJECTED;
+	double best_score = 0, tolerance = 0;
 	struct cgw_server *best = NULL;
-	enum cgw_trust best_trust = CGW_TRUST_EJECTED;
+	struct work w = { 0 };
 
+	if (by_finish) {
+		estimate_work(b, request, &w, now);
+		tolerance = NEAR_EQUAL_SHARE * w.expected;
+	}
 	for (guint i = 0; i < s->servers->len; i++) {
-		struct cgw_server *o = g_ptr_array_index(s->servers, i);
-		enum cgw_trust trust = cgw_server_trust(o, now);
-
-		/* Probation counts as healthy here: one request at a time
-		 * shows whether the failure episode is over. */
-		if (trust == CGW_TRUST_PROBATION ||
-		    (trust == CGW_TRUST_SUSPECT &&
-		     cgw_server_is_due(
-			     o, request->idempotent && !request->retry, now)))
-			trust = CGW_TRUST_HEALTHY;
-		if (trust > min_trust || !cgw_server_has_room(o, now) ||
-		    excludes(request, o->facts.id))
+		struct cgw_placement_candidate c = { 0 };
+
+		evaluate(b, g_ptr_array_index(s->servers, i), request, &w, &c,
+			 now);
+		trusts[i] = CGW_TRUST_EJECTED;
+		if (c.reason != CGW_ELIGIBLE || c.rank_trust > min_trust)
 			continue;
-		if (best && (trust > best_trust ||
-			     (trust == best_trust &&
-			      (rank_load(o, request, now) >
-				       rank_load(best, request, now) ||
-			       (rank_load(o, request, now) ==
-					rank_load(best, request, now) &&
-				o->last_granted_at >= best->last_granted_at)))))
+		trusts[i] = (int)c.rank_trust;
+		scores[i] = c.score;
+		if (trusts[i] < best_trust ||
+		    (trusts[i] == best_trust && c.score < best_score)) {
+			best_trust = trusts[i];
+			best_score = c.score;
+		}
+	}
+	for (guint i = 0; i < s->servers->len; i++) {
+		struct cgw_server *o = g_ptr_array_index(s->servers, i);
+
+		if (best_trust == CGW_TRUST_EJECTED ||
+		    trusts[i] != best_trust ||
+		    scores[i] > best_score + tolerance ||
+		    (best && o->last_granted_at >= best->last_granted_at))
 			continue;
 		best = o;
-		best_trust = trust;
 	}
 	return best;
 }
 
+size_t cgw_broker_explain(struct cgw_broker *b,
+			  const struct cgw_slot_request *request,
+			  struct cgw_placement_candidate *out, size_t max,
+			  cg_ms now)
+{
+	struct cgw_service *s =
+		g_hash_table_lookup(b->services, request->service);
+	struct cgw_server *chosen;
+	struct work w = { 0 };
+	size_t n = 0;
+
+	if (!s)
+		return 0;
+	chosen = pick_server(b, s, request, CGW_TRUST_HEALTHY, now);
+	if (!chosen)
+		chosen = pick_server(b, s, request, CGW_TRUST_SUSPECT, now);
+	estimate_work(b, request, &w, now);
+	for (guint i = 0; i < s->servers->len && n < max; i++) {
+		struct cgw_server *o = g_ptr_array_index(s->servers, i);
+		struct cgw_placement_candidate *c = &out[n++];
+
+		memset(c, 0, sizeof(*c));
+		g_strlcpy(c->server, o->facts.id, sizeof(c->server));
+		c->failing_share = cgw_server_failing_share(o, now);
+		evaluate(b, o, request, &w, c, now);
+		c->chosen = o == chosen;
+	}
+	return n;
+}
+
 struct cgw_grant *cgw_grant_new(const char *daemon, uint64_t id,
 				const char *route, struct cgw_server *s,
 				cg_ms typical, cg_ms overdue)
@@ -126,6 +289,34 @@
 	return g;
 }
 
+void cgw_grant_estimate_work(struct cgw_broker *b, struct cgw_grant *g,
+			     const struct cgw_slot_request *request, cg_ms now)
+{
+	struct work w;
+
+	if (b->placement != CGW_PLACEMENT_EXPECTED_FINISH)
+		return;
+	estimate_work(b, request, &w, now);
+	g->class = w.class;
+	g->work_ms = w.expected;
+	g->slowness = cgw_work_slowness(&g->server->speed,
+					&g->server->service->speed, now);
+}
+
+void cgw_grant_record_work(struct cgw_broker *b, struct cgw_grant *g,
+			   cg_ms elapsed, cg_ms now)
+{
+	if (g->work_ms <= 0)
+		return;
+	cgw_work_record(b->work, &g->class, g->work_ms,
+			(double)elapsed / g->slowness, now);
+	/* A request that was overdue says more of a failure than of speed. */
+	if (!g->age_stage)
+		cgw_work_speed_record(&g->server->speed,
+				      &g->server->service->speed, g->work_ms,
+				      (double)elapsed, now);
+}
+
 static void grant_slot(struct cgw_broker *b,
 		       const struct cgw_slot_request *request,
 		       struct cgw_server *s, cg_ms now)
@@ -134,8 +325,7 @@
 	struct cgw_grant *g;
 	cg_ms typical, overdue;
 
-	cgw_route_latency_estimate(b, request->route, request->objective_ms,
-				   &typical, &overdue);
+	cgw_request_latency_estimate(b, request, now, &typical, &overdue);
 	if (s->warmup_until > now)
 		overdue *= 2;
 	g = cgw_grant_new(request->daemon, request->id, request->route, s,
@@ -144,6 +334,7 @@
 	g->deadline = request->deadline;
 	g->may_retry = request->idempotent && !request->retry;
 	g->overdue_at = now + overdue;
+	cgw_grant_estimate_work(b, g, request, now);
 	s->inflight++;
 	s->last_granted_at = now;
 	*cgw_broker_usage(b, request->account, now) += (double)typical;
@@ -210,13 +401,14 @@
 				  const struct cgw_slot_request *request,
 				  cg_ms now)
 {
-	struct cgw_server *o = pick_server(s, request, CGW_TRUST_HEALTHY, now);
+	struct cgw_server *o =
+		pick_server(b, s, request, CGW_TRUST_HEALTHY, now);
 
 	if (!o && !request->cross_domain &&
 	    redirect_request(b, s, request, now))
 		return true;
 	if (!o && !request->cross_domain)
-		o = pick_server(s, request, CGW_TRUST_SUSPECT, now);
+		o = pick_server(b, s, request, CGW_TRUST_SUSPECT, now);
 	if (!o)
 		return false;
 	grant_slot(b, request, o, now);
--- a/src/gateway/broker_servers.c
+++ b/src/gateway/broker_servers.c
@@ -34,6 +34,8 @@
 			  const struct cgw_held_slot *h, cg_ms now)
 {
 	struct cgw_server *s = g_hash_table_lookup(b->servers, h->server);
+	/* What else daemons know of the request is not reported. */
+	struct cgw_slot_request request = { .objective_ms = h->remaining };
 	struct cgw_grant *g;
 	cg_ms typical, overdue;
 
@@ -47,6 +49,8 @@
 	g->started_at = now - h->age;
 	g->deadline = now + h->remaining;
 	g->overdue_at = MAX(g->started_at + overdue, now + typical);
+	g_strlcpy(request.route, h->route, sizeof(request.route));
+	cgw_grant_estimate_work(b, g, &request, now);
 	s->inflight++;
 	cds_list_add_tail(&g->node, &s->grants);
 	g_hash_table_insert(b->grants, g->key, g);
@@ -137,6 +141,19 @@
 	s->full_until = 0;
 	s->rest_until = 0;
 	s->said_leaving = false;
+	memset(&s->speed, 0, sizeof(s->speed));
+}
+
+/* Sets the speed that the former broker has learnt. */
+static void set_former_speed(struct cgw_broker *b, struct cgw_server *s)
+{
+	const struct cgw_work_speed *speed =
+		g_hash_table_lookup(b->former_speeds, s->facts.id);
+
+	if (!speed)
+		return;
+	s->speed = *speed;
+	g_hash_table_remove(b->former_speeds, s->facts.id);
 }
 
 static void update_server(struct cgw_broker *b,
@@ -152,6 +169,7 @@
 		s->service = service;
 		g_hash_table_insert(b->servers, s->facts.id, s);
 		g_ptr_array_add(service->servers, s);
+		set_former_speed(b, s);
 	} else if (s->service != service) {
 		g_ptr_array_remove(s->service->servers, s);
 		g_ptr_array_add(service->servers, s);
--- a/src/gateway/broker_trust.c
+++ b/src/gateway/broker_trust.c
@@ -63,6 +63,10 @@
 #define OVERDUE_FACTOR_MIN    2.0
 /* Longer than the retransmission timeout after one lost packet. */
 #define OVERDUE_MIN_MS 250
+/* Bounds of the work of a class of requests as a share of its route's, so that
+ * no estimate hides a server that hangs. */
+#define CLASS_SHARE_MIN 0.1
+#define CLASS_SHARE_MAX 8.0
 
 static int64_t count_servers(const struct cgw_service *s, bool only_ejected,
 			     cg_ms now)
@@ -514,6 +518,35 @@
 			  OVERDUE_MIN_MS);
 }
 
+void cgw_request_latency_estimate(struct cgw_broker *b,
+				  const struct cgw_slot_request *request,
+				  cg_ms now, cg_ms *typical_ms,
+				  cg_ms *overdue_ms)
+{
+	struct cgw_work_traits t = {
+		.route = request->route,
+		.account = request->account,
+		.method = request->method,
+		.size_class = request->size_class,
+		.shape = request->shape,
+	};
+	struct cgw_work_class c;
+	double share;
+
+	cgw_route_latency_estimate(b, request->route, request->objective_ms,
+				   typical_ms, overdue_ms);
+	if (b->placement != CGW_PLACEMENT_EXPECTED_FINISH)
+		return;
+	cgw_work_classify(&t, &c);
+	share = cgw_work_estimate(b->work, &c, request->objective_ms, now) /
+		cgw_work_route_estimate(b->work, &c, request->objective_ms,
+					now);
+	share = CLAMP(share, CLASS_SHARE_MIN, CLASS_SHARE_MAX);
+	*typical_ms = MAX(1, (cg_ms)((double)*typical_ms * share));
+	if (share > 1)
+		*overdue_ms = (cg_ms)((double)*overdue_ms * share);
+}
+
 void cgw_route_latency_record(struct cgw_broker *b, const char *route,
 			      cg_ms elapsed)
 {
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -6,6 +6,7 @@
 #include "celeryglade/counters.h"
 #include "gateway/decision_log.h"
 #include "gateway/gateway.h"
+#include "gateway/work_model.h"
 #include "internal/logging.h"
 
 /* Connect timeout. A lost SYN is retransmitted only after one second, so
@@ -593,6 +594,9 @@
 		acc && acc->priority >= 0 ? acc->priority : x->route->priority;
 	q->objective_ms = x->route->objective_ms;
 	q->deadline = cgw_gateway_slot_deadline(x->gateway, x->deadline);
+	q->method = cgw_work_method(x->method);
+	q->size_class = cgw_work_size_class(x->body->len);
+	q->shape = cgw_work_path_shape(x->target, x->route->prefix);
 	for (unsigned int i = 0;
 	     i < x->attempt_count && q->avoid_count < CGW_AVOID_MAX; i++)
 		g_strlcpy(q->avoid[q->avoid_count++],
--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -94,6 +94,7 @@
 		.retry_slack = s->retry_slack,
 		.retry_window_ms = s->retry_window_ms,
 		.min_share = s->min_share,
+		.placement = s->placement,
 		.heard_since = cgw_fleet_heard_since,
 	};
 
--- a/src/gateway/fleet_slots.c
+++ b/src/gateway/fleet_slots.c
@@ -40,6 +40,9 @@
 		avoid[i] = (char *)request->avoid[i];
 	out->avoid.avoid_val = avoid;
 	out->avoid.avoid_len = request->avoid_count;
+	out->method = request->method;
+	out->size_class = request->size_class;
+	out->shape = request->shape;
 }
 
 static void send_slot_request(struct cgw_slot *s, struct in_addr to)
@@ -457,6 +460,9 @@
 	request.priority = q->priority;
 	request.objective_ms = q->objective_ms;
 	request.deadline = now + q->remaining_ms;
+	request.method = q->method;
+	request.size_class = q->size_class;
+	request.shape = q->shape;
 	request.avoid_count = MIN(q->avoid.avoid_len, CGW_AVOID_MAX);
 	for (unsigned int i = 0; i < request.avoid_count; i++)
 		g_strlcpy(request.avoid[i], q->avoid.avoid_val[i],
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -69,8 +69,8 @@
 {
 	struct cgw_gateway *g = arg;
 
-	cgw_quota_configure(cgw_broker_quota(cgw_fleet_broker(g->fleet)), t,
-			    cgw_loop_now(g->loop));
+	cgw_broker_configure(cgw_fleet_broker(g->fleet), t,
+			     cgw_loop_now(g->loop));
 }
 
 static void on_servers(void *arg, const struct cgw_server_facts *s, size_t n)
--- a/src/gateway/handoff.c
+++ b/src/gateway/handoff.c
@@ -15,6 +15,7 @@
 
 #define TARGET_CONFIG  "/config"
 #define TARGET_SERVERS "/servers"
+#define TARGET_WORK    "/work"
 #define HEADER_NONCE   "X-Celeryglade-Nonce"
 #define HEADER_MAC     "X-Celeryglade-Mac"
 /* Age of the list of servers in milliseconds. */
@@ -28,11 +29,13 @@
 enum resource {
 	RESOURCE_CONFIG,
 	RESOURCE_SERVERS,
+	RESOURCE_WORK,
 	RESOURCE_COUNT
 };
 
 static const char *const targets[RESOURCE_COUNT] = { TARGET_CONFIG,
-						     TARGET_SERVERS };
+						     TARGET_SERVERS,
+						     TARGET_WORK };
 
 struct fetch {
 	struct cgw_handoff *handoff;
@@ -130,6 +133,11 @@
 		*age = cgw_loop_now(h->gateway->loop) -
 		       cgw_feed_servers_read_at(feed);
 		return b;
+	case RESOURCE_WORK:
+		if (!cgw_broker_export_work(cgw_fleet_broker(h->gateway->fleet),
+					    b, cgw_loop_now(h->gateway->loop)))
+			break;
+		return b;
 	case RESOURCE_COUNT:
 		break;
 	}
@@ -251,6 +259,17 @@
 		cgw_feed_record_proof(feed, version, f->proved_at);
 }
 
+static void take_work(struct fetch *f)
+{
+	struct cgw_gateway *g = f->handoff->gateway;
+
+	if (cgw_broker_import_work(cgw_fleet_broker(g->fleet),
+				   f->call.body->data, f->call.body->len,
+				   cgw_loop_now(g->loop)))
+		cg_warning("cannot parse the estimates of work from %s",
+			   f->call.address);
+}
+
 /* Returns whether the response comes from a daemon that knows the secret. */
 static bool is_authentic(struct fetch *f, const char **age)
 {
@@ -272,6 +291,14 @@
 	const char *age;
 
 	if (!is_authentic(f, &age)) {
+		/* A broker that has learnt nothing, or of an older version, has
+		 * no estimates. */
+		if (f->resource == RESOURCE_WORK &&
+		    c->outcome == CGW_CALL_RESPONDED &&
+		    (c->status == 404 || c->status == 403)) {
+			cgw_call_clear(c);
+			return;
+		}
 		cg_info("cannot fetch %s from %s: call outcome %d, HTTP status "
 			"%d",
 			targets[f->resource], c->address, (int)c->outcome,
@@ -280,6 +307,8 @@
 	} else if (f->resource == RESOURCE_CONFIG) {
 		h->failures++;
 		take_config(f);
+	} else if (f->resource == RESOURCE_WORK) {
+		take_work(f);
 	} else {
 		take_servers(f, (cg_ms)strtol(age, NULL, 10));
 	}
@@ -336,6 +365,14 @@
 		start_fetch(f, from);
 }
 
+void cgw_handoff_fetch_work(struct cgw_handoff *h, struct in_addr from)
+{
+	struct fetch *f = &h->fetches[RESOURCE_WORK];
+
+	if (!cgw_call_running(&f->call))
+		start_fetch(f, from);
+}
+
 unsigned int cgw_handoff_failures(const struct cgw_handoff *h)
 {
 	return h->failures;
--- a/src/gateway/table.c
+++ b/src/gateway/table.c
@@ -238,6 +238,18 @@
 	return g_hash_table_size(t->routes);
 }
 
+bool cgw_table_has_bulk_route(const struct cgw_table *t)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, t->routes);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		if (((const struct cgw_route *)value)->bulk)
+			return true;
+	return false;
+}
+
 const char *cgw_route_pick_service(const struct cgw_route *r, uint32_t number)
 {
 	int64_t offset =
--- a/src/rpc/fleet_wire.x
+++ b/src/rpc/fleet_wire.x
@@ -59,6 +59,10 @@
 	unsigned int objective_ms;
 	unsigned int remaining_ms; /* until the caller's deadline */
 	fleet_name avoid<FLEET_AVOID_MAX>; /* servers */
+	/* Since version 5, for the estimate of the work: */
+	unsigned int method; /* enum cgw_work_method; 0 if unknown */
+	unsigned int size_class; /* of the body */
+	unsigned int shape; /* hash of the path's form */
 };
 
 const FLEET_REQUEST_IDEMPOTENT = 1;
@@ -145,6 +149,37 @@
 	fleet_server servers<FLEET_SERVERS_MAX>;
 };
 
+/* What a broker has learnt of the work of requests. */
+const FLEET_WORK_MAX = 1024;
+const FLEET_WORK_RATIOS_MAX = 64;
+
+struct fleet_work_entry {
+	unsigned hyper key; /* hash of the class of requests */
+	unsigned int mean_us;
+	unsigned int weight_milli; /* thousandths of a sample */
+};
+
+struct fleet_work_route {
+	fleet_work_entry entry;
+	/* Spread of work over its estimate, in parts of the largest. */
+	opaque ratios<FLEET_WORK_RATIOS_MAX>;
+	unsigned int ratios_milli; /* samples, in thousandths */
+};
+
+/* Mean logarithm of a server's or service's time over its estimate. */
+struct fleet_work_speed {
+	fleet_name name;
+	bool is_service;
+	int log_ratio_milli;
+	unsigned int weight_milli;
+};
+
+struct fleet_work {
+	fleet_work_route routes<FLEET_WORK_MAX>;
+	fleet_work_entry entries<FLEET_WORK_MAX>;
+	fleet_work_speed speeds<FLEET_WORK_MAX>;
+};
+
 /* The sender's share of a client account's rate, in millionths, and the totals
  * that it has given to the receiver's domain and received from it. */
 struct fleet_account_share {
--- a/src/rpc/gen/fleet_wire.h
+++ b/src/rpc/gen/fleet_wire.h
@@ -68,6 +68,9 @@
 		u_int avoid_len;
 		fleet_name *avoid_val;
 	} avoid;
+	u_int method;
+	u_int size_class;
+	u_int shape;
 };
 typedef struct fleet_slot_request fleet_slot_request;
 #define FLEET_REQUEST_IDEMPOTENT 1
@@ -156,6 +159,49 @@
 	} servers;
 };
 typedef struct fleet_servers fleet_servers;
+#define FLEET_WORK_MAX 1024
+#define FLEET_WORK_RATIOS_MAX 64
+
+struct fleet_work_entry {
+	u_quad_t key;
+	u_int mean_us;
+	u_int weight_milli;
+};
+typedef struct fleet_work_entry fleet_work_entry;
+
+struct fleet_work_route {
+	fleet_work_entry entry;
+	struct {
+		u_int ratios_len;
+		char *ratios_val;
+	} ratios;
+	u_int ratios_milli;
+};
+typedef struct fleet_work_route fleet_work_route;
+
+struct fleet_work_speed {
+	fleet_name name;
+	bool_t is_service;
+	int log_ratio_milli;
+	u_int weight_milli;
+};
+typedef struct fleet_work_speed fleet_work_speed;
+
+struct fleet_work {
+	struct {
+		u_int routes_len;
+		fleet_work_route *routes_val;
+	} routes;
+	struct {
+		u_int entries_len;
+		fleet_work_entry *entries_val;
+	} entries;
+	struct {
+		u_int speeds_len;
+		fleet_work_speed *speeds_val;
+	} speeds;
+};
+typedef struct fleet_work fleet_work;
 
 struct fleet_account_share {
 	fleet_name account;
@@ -252,6 +298,10 @@
 extern  bool_t xdr_fleet_outcome (XDR *, fleet_outcome*);
 extern  bool_t xdr_fleet_server (XDR *, fleet_server*);
 extern  bool_t xdr_fleet_servers (XDR *, fleet_servers*);
+extern  bool_t xdr_fleet_work_entry (XDR *, fleet_work_entry*);
+extern  bool_t xdr_fleet_work_route (XDR *, fleet_work_route*);
+extern  bool_t xdr_fleet_work_speed (XDR *, fleet_work_speed*);
+extern  bool_t xdr_fleet_work (XDR *, fleet_work*);
 extern  bool_t xdr_fleet_account_share (XDR *, fleet_account_share*);
 extern  bool_t xdr_fleet_contact (XDR *, fleet_contact*);
 extern  bool_t xdr_fleet_heartbeat (XDR *, fleet_heartbeat*);
@@ -275,6 +325,10 @@
 extern bool_t xdr_fleet_outcome ();
 extern bool_t xdr_fleet_server ();
 extern bool_t xdr_fleet_servers ();
+extern bool_t xdr_fleet_work_entry ();
+extern bool_t xdr_fleet_work_route ();
+extern bool_t xdr_fleet_work_speed ();
+extern bool_t xdr_fleet_work ();
 extern bool_t xdr_fleet_account_share ();
 extern bool_t xdr_fleet_contact ();
 extern bool_t xdr_fleet_heartbeat ();
--- a/src/rpc/gen/fleet_wire_xdr.c
+++ b/src/rpc/gen/fleet_wire_xdr.c
@@ -172,6 +172,19 @@
 		 if (!xdr_array (xdrs, (char **)&objp->avoid.avoid_val, (u_int *) &objp->avoid.avoid_len, FLEET_AVOID_MAX,
 			sizeof (fleet_name), (xdrproc_t) xdr_fleet_name))
 			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->method))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->size_class))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->shape))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->method);
+			IXDR_PUT_U_LONG(buf, objp->size_class);
+			IXDR_PUT_U_LONG(buf, objp->shape);
+		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->id))
@@ -202,6 +215,19 @@
 		 if (!xdr_array (xdrs, (char **)&objp->avoid.avoid_val, (u_int *) &objp->avoid.avoid_len, FLEET_AVOID_MAX,
 			sizeof (fleet_name), (xdrproc_t) xdr_fleet_name))
 			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->method))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->size_class))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->shape))
+				 return FALSE;
+		} else {
+			objp->method = IXDR_GET_U_LONG(buf);
+			objp->size_class = IXDR_GET_U_LONG(buf);
+			objp->shape = IXDR_GET_U_LONG(buf);
+		}
 	 return TRUE;
 	}
 
@@ -224,6 +250,12 @@
 	 if (!xdr_array (xdrs, (char **)&objp->avoid.avoid_val, (u_int *) &objp->avoid.avoid_len, FLEET_AVOID_MAX,
 		sizeof (fleet_name), (xdrproc_t) xdr_fleet_name))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->method))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->size_class))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->shape))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -384,6 +416,67 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fleet_work_entry (XDR *xdrs, fleet_work_entry *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->mean_us))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->weight_milli))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fleet_work_route (XDR *xdrs, fleet_work_route *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_fleet_work_entry (xdrs, &objp->entry))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->ratios.ratios_val, (u_int *) &objp->ratios.ratios_len, FLEET_WORK_RATIOS_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ratios_milli))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fleet_work_speed (XDR *xdrs, fleet_work_speed *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_fleet_name (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_service))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->log_ratio_milli))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->weight_milli))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fleet_work (XDR *xdrs, fleet_work *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->routes.routes_val, (u_int *) &objp->routes.routes_len, FLEET_WORK_MAX,
+		sizeof (fleet_work_route), (xdrproc_t) xdr_fleet_work_route))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, FLEET_WORK_MAX,
+		sizeof (fleet_work_entry), (xdrproc_t) xdr_fleet_work_entry))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->speeds.speeds_val, (u_int *) &objp->speeds.speeds_len, FLEET_WORK_MAX,
+		sizeof (fleet_work_speed), (xdrproc_t) xdr_fleet_work_speed))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fleet_account_share (XDR *xdrs, fleet_account_share *objp)
 {
