--- a/include/gateway/broker.h
+++ b/include/gateway/broker.h
@@ -261,8 +261,8 @@
 	char server[CGW_NAME_MAX + 1];
 	enum cgw_ineligible reason;
 	enum cgw_trust trust;
-	/** The least trust that the request is placed with prefers it to all
-	 * servers of less trust. */
+	/** Servers of more trust are preferred whatever their scores. A server
+	 * on probation and one that is due count as healthy here. */
 	enum cgw_trust rank_trust;
 	double failing_share; /**< Probability of a failure episode. */
 	double outstanding_ms; /**< Work in flight per slot and speed. */
