--- a/include/gateway/handoff.h
+++ b/include/gateway/handoff.h
@@ -3,6 +3,7 @@
  * What one daemon has read from the store is handed on to the others of its
  * failure domain, so that calls to the store grow with domains and changes and
  * not with daemons: the configuration as it was read, and the list of servers.
+ * So are the broker's estimates of work, for the daemons that lead next.
  * Requests and responses carry a message authentication code under the fleet's
  * secret; the configuration contains API keys.
  */
@@ -31,7 +32,8 @@
  */
 void cgw_handoff_fetch_config(struct cgw_handoff *h, struct in_addr from,
 			      uint64_t version, cg_ms proved_at);
-/** Fetches the list of servers, unless a fetch is running. */
+/** Fetches the list of servers, unless a fetch is running, and with it what the
+ * broker there has learnt of the work of requests, if placement uses it. */
 void cgw_handoff_fetch_servers(struct cgw_handoff *h, struct in_addr from);
 /** Returns how many fetches of the configuration have failed since the last
  * one that succeeded. */
