--- a/src/gateway/quota.c
+++ b/src/gateway/quota.c
@@ -30,8 +30,8 @@
 /* Each domain's bucket is larger than its share of the burst by this: a bucket
  * that holds less than one token would admit no request. */
 #define EXTRA_TOKEN_MILLI (1 * CG_RATE_REQUEST_COST)
-/* Further tokens of a broker that its whole domain follows. A small account has a
- * burst of a few requests in all, which its callers in one domain exceed now and
+/* Further tokens of a broker that its whole domain follows, if there are several
+ * domains. A small account has a burst of a few requests in all, which its callers in one domain exceed now and
  * then although the account stays within its rate. The limit tolerates 20
  * requests a window. */
 #define DOMAIN_TOKENS_MILLI (4 * CG_RATE_REQUEST_COST)
@@ -212,6 +212,14 @@
 	return CLAMP(share, 0, CGW_SHARE_WHOLE);
 }
 
+static int64_t extra_tokens(const struct cgw_quota *q)
+{
+	return q->domains > 1
+		       ? EXTRA_TOKEN_MILLI + (int64_t)(q->broker_share *
+						       DOMAIN_TOKENS_MILLI)
+		       : EXTRA_TOKEN_MILLI;
+}
+
 /* Sets an account's bucket to this broker's share of its rate and burst: the
  * own domain's share, times the part of it that this broker may use. */
 static void update_share(struct cgw_quota *q, struct account_rate *e, cg_ms now)
@@ -223,8 +231,7 @@
 		&e->bucket, now,
 		cg_rate_fraction(e->rate_milli, share, CGW_SHARE_WHOLE),
 		cg_rate_fraction(e->burst_milli, share, CGW_SHARE_WHOLE) +
-			EXTRA_TOKEN_MILLI +
-			(int64_t)(q->broker_share * DOMAIN_TOKENS_MILLI));
+			extra_tokens(q));
 	e->share_updated_at = now;
 }
 
