Admit requests by urgency where the configuration has a bulk route

Cause: a full queue refuses the newcomer even if it is more urgent than all that wait, the expected wait counts the whole queue, and the retry budget is spent first come, first served. Change: src/gateway/admission.c orders the waiting requests of a service; broker_urgency.c applies it, broker_budget.c (split off) spends the budget. Setting admission: auto (default), arrival, urgency. By arrival is as before, except that take_retry_budget() moved.

--- a/include/celeryglade/counters.h
+++ b/include/celeryglade/counters.h
@@ -50,6 +50,13 @@
 	X(SERVERS_SAID_LEAVING, "servers_said_leaving")                        \
 	X(SERVERS_WANTED_REST, "servers_wanted_rest")                          \
 	X(RETRY_AFTER_IGNORED, "retry_after_ignored")                          \
+	X(ADMISSION_EVICTED, "admission_evicted")                              \
+	X(ADMISSION_QUEUE_FULL, "admission_queue_full")                        \
+	X(ADMISSION_TOO_LATE, "admission_too_late")                            \
+	X(ADMISSION_OVERTAKEN, "admission_overtaken")                          \
+	X(ADMISSION_STARVED, "admission_starved_first")                        \
+	X(BUDGET_DEFERRED, "retry_budget_deferred")                            \
+	X(BUDGET_REFUSED, "retry_budget_refused")                              \
 	X(DRAIN_NOTICES, "drain_notices")                                      \
 	X(REVOCATION_NOTICES, "revocation_notices")
 
--- a/include/gateway/broker.h
+++ b/include/gateway/broker.h
@@ -133,6 +133,12 @@
  * cgw_quota_broker_share(). */
 void cgw_broker_set_share(struct cgw_broker *b, double share);
 
+/** Sets whether requests are admitted by urgency (docs/design/admission.md). If
+ * not, which is the default, a request that finds the queue full is refused, and
+ * a retry that finds the retry budget used up. */
+void cgw_broker_set_admission_by_urgency(struct cgw_broker *b, bool by_urgency,
+					 cg_ms now);
+
 /** Replaces the list of servers of all domains. Ends the grants of servers that
  * left the list, restarted, or changed their address or service. */
 void cgw_broker_set_servers(struct cgw_broker *b,
--- a/include/gateway/gateway_settings.h
+++ b/include/gateway/gateway_settings.h
@@ -11,6 +11,14 @@
 #include "celeryglade/clock.h"
 #include "internal/jsonc.h"
 
+/** In which order waiting requests get slots, and which are refused. */
+enum cgw_admission {
+	CGW_ADMISSION_AUTO, /**< By urgency while the configuration has a bulk
+			     * route, by arrival otherwise. */
+	CGW_ADMISSION_ARRIVAL, /**< A full queue refuses the newcomer. */
+	CGW_ADMISSION_URGENCY, /**< docs/design/admission.md */
+};
+
 struct cgw_settings {
 	char *instance;
 	char *domain; /**< Failure domain of this instance. */
@@ -50,6 +58,7 @@
 	int64_t request_head_max_bytes;
 	int64_t response_head_max_bytes;
 	double min_share; /**< Share of a service's servers never ejected. */
+	enum cgw_admission admission;
 	cg_ms grace_ms; /**< Time from SIGTERM to SIGKILL. */
 	char *log_level;
 };
--- a/include/gateway/table.h
+++ b/include/gateway/table.h
@@ -103,6 +103,8 @@
 bool cgw_table_has_accounts(const struct cgw_table *t);
 /** Returns the accounts by key; owned by the table. */
 GHashTable *cgw_table_accounts(const struct cgw_table *t);
+/** Returns whether any route has large responses (@c bulk). */
+bool cgw_table_has_bulk(const struct cgw_table *t);
 size_t cgw_table_route_count(const struct cgw_table *t);
 
 /** Returns the service that @p number selects in proportion to the weights;
--- a/src/gateway/broker.c
+++ b/src/gateway/broker.c
@@ -12,6 +12,8 @@
 	g_array_unref(s->first_attempts);
 	g_array_unref(s->retries);
 	g_hash_table_unref(s->domain_reports);
+	g_hash_table_unref(s->kind_shares);
+	g_hash_table_unref(s->account_shares);
 	g_free(s->name);
 	g_free(s);
 }
@@ -105,6 +107,11 @@
 	s->name = g_strdup(name);
 	s->servers = g_ptr_array_new();
 	CDS_INIT_LIST_HEAD(&s->waiting);
+	CDS_INIT_LIST_HEAD(&s->deferred);
+	s->kind_shares =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	s->account_shares =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	s->first_attempts = g_array_new(FALSE, FALSE, sizeof(cg_ms));
 	s->retries = g_array_new(FALSE, FALSE, sizeof(cg_ms));
 	s->domain_reports =
@@ -128,7 +135,11 @@
 void cgw_waiter_end(struct cgw_broker *b, struct cgw_waiter *w)
 {
 	cds_list_del(&w->node);
-	w->service->waiting_count--;
+	if (w->deferred)
+		w->service->deferred_count--;
+	else
+		w->service->waiting_count--;
+	cgw_waiter_leave_shares(w);
 	g_hash_table_remove(b->waiters, w->key);
 }
 
@@ -207,6 +218,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		cgw_service_check_shortage(b, value, now);
 		cgw_service_enforce_floor(b, value, now);
+		cgw_broker_retry_deferred(b, value, now);
 		cgw_broker_grant_waiting(b, value, now);
 		cgw_broker_refuse_expired(b, value, now);
 	}
--- a/src/gateway/broker_admission.c
+++ b/src/gateway/broker_admission.c
@@ -14,9 +14,6 @@
 #define RETRY_AFTER_MAX_MS 2000
 /* Time constant of the decay of an account's server time. */
 #define USAGE_TAU_MS 3000
-/* Share of the retry budget that the domains use themselves; the rest is for
- * requests that cross domains. */
-#define BUDGET_SHARE 0.85
 
 /* Returns the account's recent server time in ms. It decays in steps of a tenth
  * of its time constant. */
@@ -29,14 +26,17 @@
 			exp(-(double)(now - b->usage_at) / USAGE_TAU_MS);
 		GHashTableIter it;
 		gpointer value;
+		double sum = 0;
 
 		g_hash_table_iter_init(&it, b->usage);
 		while (g_hash_table_iter_next(&it, NULL, &value)) {
 			*(double *)value *= factor;
+			sum += *(double *)value;
 			if (*(double *)value < 1)
 				g_hash_table_iter_remove(&it);
 		}
 		b->usage_at = now;
+		b->usage_mean = sum / MAX(1U, g_hash_table_size(b->usage));
 	}
 	usage = g_hash_table_lookup(b->usage, account);
 	if (!usage) {
@@ -64,42 +64,11 @@
 		cgw_service_record_outcome(
 			cgw_broker_get_service(b, request->service), false,
 			now);
+	if (reason != CG_REASON_RATE_EXCEEDED)
+		cgw_broker_record_refused(b, request);
 	b->decide(b->arg, &d);
 }
 
-static void remove_older(GArray *times, cg_ms oldest)
-{
-	guint n = 0;
-
-	while (n < times->len && g_array_index(times, cg_ms, n) < oldest)
-		n++;
-	if (n)
-		g_array_remove_range(times, 0, n);
-}
-
-/* Counts a retry if the service's retry budget allows one more, and returns
- * whether it does. The budget of the whole fleet is retry_ratio times the first
- * attempts of the last retry_window_ms, plus retry_slack. Each domain counts
- * its own first attempts and retries, has an equal share of the slack, and uses
- * BUDGET_SHARE of the result. */
-static bool take_retry_budget(struct cgw_broker *b, struct cgw_service *s,
-			      cg_ms now)
-{
-	double allowed;
-
-	remove_older(s->retries, now - b->settings.retry_window_ms);
-	remove_older(s->first_attempts, now - b->settings.retry_window_ms);
-	allowed = BUDGET_SHARE *
-		  (b->settings.retry_ratio * s->first_attempts->len +
-		   (double)b->settings.retry_slack / b->settings.domains);
-	/* Another broker of this domain uses the rest. */
-	allowed *= b->share;
-	if (s->retries->len + 1 > allowed)
-		return false;
-	g_array_append_val(s->retries, now);
-	return true;
-}
-
 static cg_ms jitter_retry_after(double ms)
 {
 	/* Jitter keeps refused callers from retrying all at once. */
@@ -142,11 +111,33 @@
 			  now);
 }
 
+unsigned int cgw_broker_queue_limit(int64_t slots)
+{
+	return (unsigned int)MAX(WAITING_MIN, WAITING_PER_SLOT * slots);
+}
+
+struct cgw_waiter *cgw_broker_add_waiter(struct cgw_broker *b,
+					 struct cgw_service *s,
+					 const struct cgw_slot_request *request,
+					 cg_ms now)
+{
+	struct cgw_waiter *w = g_new0(struct cgw_waiter, 1);
+
+	w->key = cgw_grant_key(request->daemon, request->id);
+	w->request = *request;
+	w->since = now;
+	w->service = s;
+	cds_list_add_tail(&w->node, &s->waiting);
+	s->waiting_count++;
+	g_hash_table_insert(b->waiters, w->key, w);
+	return w;
+}
+
 static void queue_or_refuse(struct cgw_broker *b, struct cgw_service *s,
-			    const struct cgw_slot_request *request, cg_ms now)
+			    const struct cgw_slot_request *request,
+			    cg_ms budget_at, cg_ms now)
 {
 	int64_t slots = cgw_service_healthy_slots(s, now);
-	struct cgw_waiter *w;
 	cg_ms typical, overdue, rest;
 	double expected_wait;
 
@@ -161,27 +152,36 @@
 	}
 	rest = shortest_rest(s, now);
 	if (rest_is_long(rest)) {
+		if (budget_at && b->by_urgency)
+			cgw_service_refund_retry(s, budget_at);
 		refuse_during_rest(b, request, rest, now);
 		return;
 	}
+	if (b->by_urgency) {
+		cgw_broker_queue_by_urgency(b, s, request, budget_at, now);
+		return;
+	}
 	cgw_route_latency_estimate(b, request->route, request->objective_ms,
 				   &typical, &overdue);
 	expected_wait = (double)typical * (s->waiting_count + 1) /
 			(double)MAX(slots, 1);
 	if (now + (cg_ms)expected_wait + typical > request->deadline ||
-	    s->waiting_count >= MAX(WAITING_MIN, WAITING_PER_SLOT * slots)) {
+	    s->waiting_count >= cgw_broker_queue_limit(slots)) {
 		cgw_broker_refuse(b, request, CG_REASON_QUEUE_FULL,
 				  jitter_retry_after(expected_wait), now);
 		return;
 	}
-	w = g_new0(struct cgw_waiter, 1);
-	w->key = cgw_grant_key(request->daemon, request->id);
-	w->request = *request;
-	w->since = now;
-	w->service = s;
-	cds_list_add_tail(&w->node, &s->waiting);
-	s->waiting_count++;
-	g_hash_table_insert(b->waiters, w->key, w);
+	cgw_broker_add_waiter(b, s, request, now);
+}
+
+void cgw_broker_place(struct cgw_broker *b, struct cgw_service *s,
+		      const struct cgw_slot_request *request, cg_ms budget_at,
+		      cg_ms now)
+{
+	if (cgw_broker_grant_or_redirect(b, s, request, now))
+		cgw_broker_record_admitted(b, request);
+	else
+		queue_or_refuse(b, s, request, budget_at, now);
 }
 
 void cgw_broker_remove_token_waiter(struct cgw_broker *b, const char *daemon,
@@ -236,7 +236,7 @@
 	char *key = cgw_grant_key(copy.daemon, copy.id);
 	struct cgw_grant *g = g_hash_table_lookup(b->grants, key);
 	bool waits = g_hash_table_contains(b->waiters, key);
-	cg_ms retry_after = 0;
+	cg_ms retry_after = 0, budget_at = 0;
 
 	g_free(key);
 	if (g) {
@@ -262,16 +262,19 @@
 		copy.charged = true;
 		g_array_append_val(s->first_attempts, now);
 	} else if (copy.retry && !copy.charged && !copy.cross_domain) {
-		if (!take_retry_budget(b, s, now)) {
+		if (b->by_urgency) {
+			if (!cgw_broker_take_or_defer(b, s, &copy, now))
+				return;
+		} else if (!cgw_service_take_retry(b, s, 0, now)) {
 			cgw_broker_refuse(
 				b, &copy, CG_REASON_SERVER_SHED,
 				jitter_retry_after(RETRY_AFTER_MAX_MS), now);
 			return;
 		}
 		copy.charged = true;
+		budget_at = now;
 	}
-	if (!cgw_broker_grant_or_redirect(b, s, &copy, now))
-		queue_or_refuse(b, s, &copy, now);
+	cgw_broker_place(b, s, &copy, budget_at, now);
 }
 
 bool cgw_broker_has_charged(const struct cgw_broker *b, const char *daemon,
@@ -310,15 +313,19 @@
 		struct cgw_waiter *best = NULL, *w;
 		struct cgw_slot_request request;
 
-		cds_list_for_each_entry(w, &s->waiting, node)
-			if (!best || precedes(b, w, best, now))
-				best = w;
+		if (b->by_urgency)
+			best = cgw_service_most_urgent(s, now);
+		else
+			cds_list_for_each_entry(w, &s->waiting, node)
+				if (!best || precedes(b, w, best, now))
+					best = w;
 		if (!best)
 			return;
 		request = best->request;
 		if (!cgw_broker_grant_or_redirect(b, s, &request, now))
 			return;
-		cgw_waiter_end(b, best);
+		cgw_broker_record_admitted(b, &request);
+		cgw_broker_end_granted_wait(b, best, now);
 	}
 }
 
@@ -334,6 +341,8 @@
 	cds_list_for_each_entry_safe(w, next, &s->waiting, node) {
 		struct cgw_slot_request request = w->request;
 
+		if (w->budget_at && b->by_urgency)
+			cgw_service_refund_retry(s, w->budget_at);
 		cgw_waiter_end(b, w);
 		refuse_during_rest(b, &request, rest, now);
 	}
@@ -344,6 +353,10 @@
 {
 	struct cgw_waiter *w, *next;
 
+	if (b->by_urgency) {
+		cgw_broker_refuse_hopeless(b, s, now);
+		return;
+	}
 	cds_list_for_each_entry_safe(w, next, &s->waiting, node) {
 		struct cgw_slot_request request = w->request;
 		cg_ms typical, overdue;
--- a/src/gateway/broker_internal.h
+++ b/src/gateway/broker_internal.h
@@ -8,6 +8,7 @@
 
 #include <urcu/list.h>
 
+#include "admission.h"
 #include "broker_evidence.h"
 #include "broker_floor.h"
 #include "gateway/broker.h"
@@ -24,12 +25,20 @@
 	GPtrArray *servers; /**< struct cgw_server of this domain, not owned. */
 	struct cds_list_head waiting; /**< struct cgw_waiter */
 	unsigned int waiting_count;
+	/** struct cgw_waiter: retries that wait for the retry budget. */
+	struct cds_list_head deferred;
+	unsigned int deferred_count;
 	GArray *first_attempts; /**< cg_ms of each in the retry window. */
 	GArray *retries; /**< cg_ms of each in the retry window. */
 	GHashTable *domain_reports; /**< domain to struct cgw_domain_report */
 	int64_t fleet_servers; /**< Of all domains, without leaving ones. */
 	struct cgw_failure_model failures;
 	struct cgw_outcome_window outcomes; /**< Of this domain's requests. */
+	/** Recent decisions, with admission by urgency: by route, by account,
+	 * and on all requests. */
+	GHashTable *kind_shares, *account_shares;
+	struct cgw_admission_share all_shares;
+	cg_ms shares_at; /**< Time up to which they are decayed. */
 	/** Runs short: too many of its requests are not served. */
 	bool is_short;
 	/** Runs short, and few of its servers in this domain get requests. */
@@ -97,6 +106,12 @@
 	struct cgw_slot_request request;
 	cg_ms since;
 	struct cgw_service *service;
+	bool deferred; /**< Waits for the retry budget. */
+	/** When it took a retry from the budget of this broker; 0: it did not. */
+	cg_ms budget_at;
+	/** With admission by urgency. */
+	struct cgw_admission_request urgency;
+	struct cgw_admission_share *kind, *account; /**< NULL if not counted. */
 };
 
 struct cgw_broker {
@@ -112,6 +127,10 @@
 	GHashTable *waiters; /**< key to struct cgw_waiter */
 	GHashTable *usage; /**< account to its recent server time in ms */
 	cg_ms usage_at; /**< Time up to which usage is decayed. */
+	double usage_mean; /**< Of the accounts, at that time. */
+	bool by_urgency; /**< Admission by urgency; otherwise by arrival. */
+	unsigned int evictions_unlogged;
+	cg_ms evictions_logged_at;
 	GArray *token_waiters; /**< struct cgw_slot_request */
 	uint64_t ejections;
 	/** Of the domain's rates and retry budget. */
@@ -147,6 +166,18 @@
 void cgw_broker_refuse(struct cgw_broker *b,
 		       const struct cgw_slot_request *request,
 		       enum cg_reason reason, cg_ms retry_after, cg_ms now);
+/** Returns how many requests may wait for a service with this many slots. */
+unsigned int cgw_broker_queue_limit(int64_t slots);
+/** Adds a request to the end of the queue of a service. */
+struct cgw_waiter *cgw_broker_add_waiter(struct cgw_broker *b,
+					 struct cgw_service *s,
+					 const struct cgw_slot_request *request,
+					 cg_ms now);
+/** Grants a slot, redirects the request, or queues or refuses it. @p budget_at is
+ * the time at which it took a retry from the budget, or 0. */
+void cgw_broker_place(struct cgw_broker *b, struct cgw_service *s,
+		      const struct cgw_slot_request *request, cg_ms budget_at,
+		      cg_ms now);
 /** Withdraws a request that waits for a rate token. */
 void cgw_broker_remove_token_waiter(struct cgw_broker *b, const char *daemon,
 				    uint64_t id);
@@ -162,6 +193,51 @@
 void cgw_broker_refuse_expired(struct cgw_broker *b, struct cgw_service *s,
 			       cg_ms now);
 
+/* broker_urgency.c: admission by urgency */
+/** Sets the fields that admission by urgency uses. */
+void cgw_waiter_set_urgency(struct cgw_broker *b, struct cgw_waiter *w,
+			    cg_ms now);
+/** Counts a request in the shares of its kind and account until its wait ends. */
+void cgw_waiter_join_shares(struct cgw_waiter *w);
+void cgw_waiter_leave_shares(struct cgw_waiter *w);
+/** Queues the request, refuses it, or refuses a waiting one in its place.
+ * @p budget_at is the time at which it took a retry from the budget, or 0. */
+void cgw_broker_queue_by_urgency(struct cgw_broker *b, struct cgw_service *s,
+				 const struct cgw_slot_request *request,
+				 cg_ms budget_at, cg_ms now);
+/** Returns the waiting request that gets the next slot, or NULL. */
+struct cgw_waiter *cgw_service_most_urgent(struct cgw_service *s, cg_ms now);
+/** Ends the wait of a request that got a slot. */
+void cgw_broker_end_granted_wait(struct cgw_broker *b, struct cgw_waiter *w,
+				 cg_ms now);
+/** Records that a request got a slot or was redirected. */
+void cgw_broker_record_admitted(struct cgw_broker *b,
+				const struct cgw_slot_request *request);
+/** Records a refusal. */
+void cgw_broker_record_refused(struct cgw_broker *b,
+			       const struct cgw_slot_request *request);
+/** Refuses the waiting requests that cannot meet their deadline behind those
+ * that precede them. */
+void cgw_broker_refuse_hopeless(struct cgw_broker *b, struct cgw_service *s,
+				cg_ms now);
+
+/* broker_budget.c: the retry budget of a service */
+/** Counts a retry if the budget allows one more, less the @p reserve (from 0 to
+ * 1), and returns whether it does. */
+bool cgw_service_take_retry(struct cgw_broker *b, struct cgw_service *s,
+			    double reserve, cg_ms now);
+/** Returns whether a retry got a part of the budget. If not, it waits for one or
+ * has been refused. */
+bool cgw_broker_take_or_defer(struct cgw_broker *b, struct cgw_service *s,
+			      const struct cgw_slot_request *request,
+			      cg_ms now);
+/** Takes a retry that was counted at @p at off the budget. */
+void cgw_service_refund_retry(struct cgw_service *s, cg_ms at);
+/** Gives the budget to the deferred retries and refuses those that cannot meet
+ * their deadline. */
+void cgw_broker_retry_deferred(struct cgw_broker *b, struct cgw_service *s,
+			       cg_ms now);
+
 /* broker_trust.c */
 /** Returns the present trust of a server. Ends an ejection that is over. */
 enum cgw_trust cgw_server_trust(struct cgw_server *s, cg_ms now);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -68,9 +68,14 @@
 static void on_table(void *arg, struct cgw_table *t)
 {
 	struct cgw_gateway *g = arg;
+	struct cgw_broker *b = cgw_fleet_broker(g->fleet);
+	bool by_urgency = g->settings.admission == CGW_ADMISSION_URGENCY ||
+			  (g->settings.admission == CGW_ADMISSION_AUTO &&
+			   cgw_table_has_bulk(t));
 
-	cgw_quota_configure(cgw_broker_quota(cgw_fleet_broker(g->fleet)), t,
-			    cgw_loop_now(g->loop));
+	cgw_quota_configure(cgw_broker_quota(b), t, cgw_loop_now(g->loop));
+	cgw_broker_set_admission_by_urgency(b, by_urgency,
+					    cgw_loop_now(g->loop));
 }
 
 static void on_servers(void *arg, const struct cgw_server_facts *s, size_t n)
--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -37,6 +37,7 @@
 	"responses_max_bytes",
 	"request_head_max_bytes",
 	"response_head_max_bytes",
+	"admission",
 	NULL,
 };
 
@@ -105,6 +106,30 @@
 		       : 0;
 }
 
+static int get_admission(struct json_object *o, enum cgw_admission *out,
+			 struct cg_faults *f)
+{
+	static const char *const names[] = {
+		[CGW_ADMISSION_AUTO] = "auto",
+		[CGW_ADMISSION_ARRIVAL] = "arrival",
+		[CGW_ADMISSION_URGENCY] = "urgency",
+	};
+	const char *text = NULL;
+	int rc = cg_json_get_string(o, "admission", "settings", &text, f);
+
+	if (rc)
+		return rc < 0 ? -1 : 0;
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
+		if (!strcmp(text, names[i])) {
+			*out = (enum cgw_admission)i;
+			return 0;
+		}
+	cg_faults_add(f, "settings",
+		      "\"admission\" must be \"auto\", \"arrival\" or "
+		      "\"urgency\"");
+	return -1;
+}
+
 static int read_settings(struct json_object *o, struct cgw_settings *s,
 			 struct cg_faults *f)
 {
@@ -142,6 +167,7 @@
 			 HEAD_MOST_BYTES, &s->request_head_max_bytes, f);
 	rc |= get_number(o, "response_head_max_bytes", HEAD_LEAST_BYTES,
 			 HEAD_MOST_BYTES, &s->response_head_max_bytes, f);
+	rc |= get_admission(o, &s->admission, f);
 	rc |= get_fraction(o, "cpu_share", CPU_SHARE_MAX, &s->cpu_share, f);
 	rc |= get_fraction(o, "link_mbps", LINK_MBPS_MAX, &s->link_mbps, f);
 	return rc || f->n ? -1 : 0;
--- a/src/gateway/table.c
+++ b/src/gateway/table.c
@@ -233,6 +233,18 @@
 	return t->accounts;
 }
 
+bool cgw_table_has_bulk(const struct cgw_table *t)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, t->routes);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		if (((const struct cgw_route *)value)->bulk)
+			return true;
+	return false;
+}
+
 size_t cgw_table_route_count(const struct cgw_table *t)
 {
 	return g_hash_table_size(t->routes);
--- a/tests/test_gateway_settings.c
+++ b/tests/test_gateway_settings.c
@@ -46,6 +46,7 @@
 	assert_int_equal(s.server_heartbeat_ms, 1500);
 	assert_int_equal(s.descriptors_max, 65536);
 	assert_string_equal(s.log_level, "info");
+	assert_int_equal(s.admission, CGW_ADMISSION_AUTO);
 	cgw_settings_clear(&s);
 }
 
@@ -60,6 +61,7 @@
 			      "\"retry_window_ms\":10000,\"key_proof_ms\":3000,"
 			      "\"grace_ms\":9000,\"log_level\":\"debug\","
 			      "\"server_heartbeat_ms\":400,"
+			      "\"admission\":\"urgency\","
 			      "\"metrics_port\":9464}",
 			      &s, &f),
 			 0);
@@ -67,6 +69,7 @@
 	assert_int_equal(s.retry_slack, 56);
 	assert_int_equal(s.metrics_port, 9464);
 	assert_string_equal(s.log_level, "debug");
+	assert_int_equal(s.admission, CGW_ADMISSION_URGENCY);
 	cgw_settings_clear(&s);
 }
 
@@ -81,6 +84,8 @@
 		"{" REQUIRED ",\"min_share\":1.5}",
 		"{" REQUIRED ",\"seeds\":[5]}",
 		"{" REQUIRED ",\"grace_ms\":1}",
+		"{" REQUIRED ",\"admission\":\"first\"}",
+		"{" REQUIRED ",\"admission\":1}",
 	};
 
 	(void)state;
