--- a/src/gateway/admission.c
+++ b/src/gateway/admission.c
@@ -5,10 +5,10 @@
 #include <stdlib.h>
 
 /* Time constant of the decay of the recent decisions. */
-#define SHARE_TAU_MS 5000
+#define SHARE_TAU_MS 1000
 /* A kind or account must be served at least a quarter as often as all requests;
  * the rest is a margin for the delay of the control. */
-#define STARVED_SHARE 0.4
+#define STARVED_SHARE 0.45
 /* A refusal of a waiting request is not taken back, and the expected wait is an
  * estimate: only this part of it counts. */
 #define PLANNED_WAIT_PART 0.8
@@ -20,9 +20,12 @@
 #define USAGE_LEVEL_MAX	      8
 /* Largest part of the retry budget that is reserved for other kinds. */
 #define BUDGET_RESERVE_MAX 0.6
-/* Retries that are reserved for each recent request of a kind with precedence,
- * as a part of the budget for it. */
-#define BUDGET_RESERVE_PER_REQUEST 0.5
+/* Reserved part of the budget for each request of a more urgent kind, as a part
+ * of what the budget grows by with each request. */
+#define BUDGET_RESERVE_PER_REQUEST 0.25
+/* Kinds with more time than this wait for the budget. If a part of it were
+ * reserved for them, it would often stay unused. */
+#define BUDGET_RESERVE_TIME_MS 5000
 
 void cgw_admission_share_record(struct cgw_admission_share *s, bool granted)
 {
@@ -155,11 +158,9 @@
 		double requests = o->granted + o->refused;
 
 		all += requests;
-		if (o->priority < kind->priority)
+		if (o->priority < kind->priority &&
+		    o->time_ms < BUDGET_RESERVE_TIME_MS)
 			before += requests;
-		else if (o->priority == kind->priority && o->idempotent &&
-			 !kind->idempotent)
-			before += requests / 2;
 	}
 	if (all <= 0 || retry_ratio <= 0)
 		return 0;
--- a/src/gateway/admission.h
+++ b/src/gateway/admission.h
@@ -17,9 +17,9 @@
 	double granted, refused; /**< Decay with time. */
 	unsigned int waiting; /**< For a slot. */
 	unsigned int users; /**< Requests that refer to it. */
-	/** Kinds only: served in preference by the retry budget. */
-	int64_t priority;
-	bool idempotent;
+	int64_t priority; /**< Of a kind. */
+	/** From the arrival of a request of a kind to its deadline. */
+	cg_ms time_ms;
 };
 
 /** A request for which there is no free slot. */
--- a/src/gateway/broker_admission.c
+++ b/src/gateway/broker_admission.c
@@ -261,6 +261,8 @@
 		}
 		copy.charged = true;
 		g_array_append_val(s->first_attempts, now);
+		if (b->by_urgency)
+			cgw_service_record_arrival(s, &copy, now);
 	} else if (copy.retry && !copy.charged && !copy.cross_domain) {
 		if (b->by_urgency) {
 			if (!cgw_broker_take_or_defer(b, s, &copy, now))
--- a/src/gateway/broker_budget.c
+++ b/src/gateway/broker_budget.c
@@ -66,8 +66,7 @@
 				 struct cgw_service *s,
 				 const struct cgw_slot_request *request)
 {
-	struct cgw_admission_share own = { .priority = request->priority,
-					   .idempotent = request->idempotent };
+	struct cgw_admission_share own = { .priority = request->priority };
 	guint n = g_hash_table_size(s->kind_shares);
 	const struct cgw_admission_share **kinds =
 		g_new(const struct cgw_admission_share *, n + 1);
--- a/src/gateway/broker_internal.h
+++ b/src/gateway/broker_internal.h
@@ -210,6 +210,10 @@
 /** Ends the wait of a request that got a slot. */
 void cgw_broker_end_granted_wait(struct cgw_broker *b, struct cgw_waiter *w,
 				 cg_ms now);
+/** Records the arrival of a request that has not been sent to a server. */
+void cgw_service_record_arrival(struct cgw_service *s,
+				const struct cgw_slot_request *request,
+				cg_ms now);
 /** Records that a request got a slot or was redirected. */
 void cgw_broker_record_admitted(struct cgw_broker *b,
 				const struct cgw_slot_request *request);
--- a/src/gateway/broker_urgency.c
+++ b/src/gateway/broker_urgency.c
@@ -41,7 +41,6 @@
 	/* The priority of an account may differ from that of the route: the
 	 * last request counts. */
 	kind->priority = request->priority;
-	kind->idempotent = request->idempotent;
 	return kind;
 }
 
@@ -53,6 +52,13 @@
 		       : NULL;
 }
 
+void cgw_service_record_arrival(struct cgw_service *s,
+				const struct cgw_slot_request *request,
+				cg_ms now)
+{
+	get_kind(s, request)->time_ms = request->deadline - now;
+}
+
 static void decay(GHashTable *shares, cg_ms elapsed)
 {
 	GHashTableIter it;
@@ -256,7 +262,7 @@
 	cgw_waiter_join_shares(w);
 	cds_list_for_each_entry(o, &s->waiting, node) {
 		if (!last ||
-		    cgw_admission_precedes(&last->urgency, &o->urgency, now))
+		    !cgw_admission_precedes(&o->urgency, &last->urgency, now))
 			last = o;
 		all += (double)o->urgency.work / (double)slots;
 		if (o == w ||
