--- a/src/gateway/admission.c
+++ b/src/gateway/admission.c
@@ -22,7 +22,7 @@
 #define BUDGET_RESERVE_MAX 0.6
 /* Reserved part of the budget for each request of a more urgent kind, as a part
  * of what the budget grows by with each request. */
-#define BUDGET_RESERVE_PER_REQUEST 0.25
+#define BUDGET_RESERVE_PER_REQUEST 0.05
 /* Kinds with more time than this wait for the budget. If a part of it were
  * reserved for them, it would often stay unused. */
 #define BUDGET_RESERVE_TIME_MS 5000
@@ -125,7 +125,7 @@
 {
 	double work = 0;
 
-	g_qsort_with_data(waiting, (gint)n, sizeof(*waiting), compare, &now);
+	g_qsort_with_data(waiting, (gint)n, sizeof(gpointer), compare, &now);
 	for (size_t i = 0; i < n; i++) {
 		double wait = PLANNED_WAIT_PART * work / fmax(slots, 1);
 
--- a/src/gateway/broker_urgency.c
+++ b/src/gateway/broker_urgency.c
@@ -253,16 +253,18 @@
 				 cg_ms budget_at, cg_ms now)
 {
 	int64_t slots = MAX(1, cgw_service_healthy_slots(s, now));
-	struct cgw_waiter *last = NULL, *w, *o;
+	struct cgw_waiter *last, *w, *o;
 	double before = 0, all = 0;
 
 	w = cgw_broker_add_waiter(b, s, request, now);
 	w->budget_at = budget_at;
 	cgw_waiter_set_urgency(b, w, now);
 	cgw_waiter_join_shares(w);
-	cds_list_for_each_entry(o, &s->waiting, node) {
-		if (!last ||
-		    !cgw_admission_precedes(&o->urgency, &last->urgency, now))
+	/* Of equal requests the last to arrive is refused. */
+	last = w;
+	cds_list_for_each_entry_reverse(o, &s->waiting, node)
+	{
+		if (cgw_admission_precedes(&last->urgency, &o->urgency, now))
 			last = o;
 		all += (double)o->urgency.work / (double)slots;
 		if (o == w ||
