--- a/src/gateway/broker_admission.c
+++ b/src/gateway/broker_admission.c
@@ -146,6 +146,8 @@
 		return;
 	}
 	if (!s->servers->len) {
+		if (budget_at && b->by_urgency)
+			cgw_service_refund_retry(s, budget_at);
 		cgw_broker_refuse(b, request, CG_REASON_NO_SERVER,
 				  RETRY_AFTER_MIN_MS, now);
 		return;
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -385,6 +385,7 @@
 /* Figures of a load by one order, over all seeds. */
 struct summary {
 	struct tally all, kinds[KINDS_MAX];
+	double highest_budget;
 };
 
 /* Runs a load by arrival (0) and by urgency (1), with several seeds. */
@@ -403,12 +404,16 @@
 				add_tally(&sums[by_urgency].kinds[k],
 					  &r.kinds[k]);
 			assert_true(r.highest_budget <= 1);
+			sums[by_urgency].highest_budget =
+				MAX(sums[by_urgency].highest_budget,
+				    r.highest_budget);
 			if (by_urgency)
 				check_kinds_and_accounts(&r);
 			clear_run(&r);
 		}
-		print_message("%s, by %s, %d seeds:\n", l->name,
-			      by_urgency ? "urgency" : "arrival", SEEDS);
+		print_message("%s, by %s, %d seeds, budget used up to %.3f:\n",
+			      l->name, by_urgency ? "urgency" : "arrival",
+			      SEEDS, sums[by_urgency].highest_budget);
 		for (unsigned int k = 0; k < KINDS_MAX; k++)
 			print_tally(l->kinds[k].name,
 				    &sums[by_urgency].kinds[k]);
--- a/tests/test_gateway_table.c
+++ b/tests/test_gateway_table.c
@@ -44,6 +44,20 @@
 	cgw_table_unref(t);
 }
 
+/* Admission depends on it: docs/design/admission.md. */
+static void table_with_a_bulk_route_is_recognized(void **state)
+{
+	struct cgw_table *t = cgw_table_new(1);
+
+	(void)state;
+	assert_false(cgw_table_has_bulk(t));
+	cgw_table_add_route(t, "one", "a.example", "/x/");
+	assert_false(cgw_table_has_bulk(t));
+	cgw_table_add_route(t, "two", "a.example", "/y/")->bulk = true;
+	assert_true(cgw_table_has_bulk(t));
+	cgw_table_unref(t);
+}
+
 static void api_key_finds_its_account(void **state)
 {
 	struct cgw_table *t = cgw_table_new(1);
@@ -98,6 +112,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(longest_prefix_wins),
 		cmocka_unit_test(host_match_ignores_case_and_port),
+		cmocka_unit_test(table_with_a_bulk_route_is_recognized),
 		cmocka_unit_test(api_key_finds_its_account),
 		cmocka_unit_test(requests_are_split_by_weight),
 		cmocka_unit_test(table_lives_until_last_reference_is_dropped),
