Reply to a waiting slot request also when another one was evicted for it

Cause: the broker replies that a request waits only if it made no decision during the submission; the decision on an evicted request counted as one. Change: only a decision on the submitted request counts.

--- a/src/gateway/fleet_internal.h
+++ b/src/gateway/fleet_internal.h
@@ -165,7 +165,9 @@
 	struct cgw_broker *broker;
 	struct cgw_server_notices *notices; /* to this daemon */
 	bool servers_fresh; /* list read since this daemon leads */
-	bool decision_made; /* the broker decided during the submission */
+	/* request of another daemon that is being submitted, or NULL */
+	const struct cgw_slot_request *submitted;
+	bool decision_made; /* the broker decided it during the submission */
 	/* struct cgw_slot_request that wait for the list of servers */
 	GArray *pending_requests;
 	struct cds_list_head slots; /* struct cgw_slot in use */
--- a/src/gateway/fleet_slots.c
+++ b/src/gateway/fleet_slots.c
@@ -426,7 +426,11 @@
 	struct cgw_fleet *f = arg;
 	struct cgw_member *m;
 
-	f->decision_made = true;
+	/* A decision on another request, evicted for this one, does not count:
+	 * the daemon would take this broker for one that does not answer. */
+	if (f->submitted && d->id == f->submitted->id &&
+	    !strcmp(d->daemon, f->submitted->daemon))
+		f->decision_made = true;
 	if (cgw_fleet_is_self(f, d->daemon)) {
 		g_queue_push_tail(&f->own_decisions, g_memdup2(d, sizeof(*d)));
 		cgw_timer_arm(f->loop, &f->decision_timer,
@@ -472,7 +476,9 @@
 	if (!request.cross_domain)
 		m->last_follow_at = now;
 	f->decision_made = false;
+	f->submitted = &request;
 	cgw_fleet_submit_request(f, &request);
+	f->submitted = NULL;
 	if (f->decision_made)
 		return;
 	b.fleet_body_u.waiting.id = q->id;
