--- a/include/gateway/gateway_settings.h
+++ b/include/gateway/gateway_settings.h
@@ -12,6 +12,14 @@
 #include "gateway/broker.h"
 #include "internal/jsonc.h"
 
+/** In which order waiting requests get slots, and which are refused. */
+enum cgw_admission {
+	CGW_ADMISSION_AUTO, /**< By urgency while the configuration has a bulk
+			     * route, by arrival otherwise. */
+	CGW_ADMISSION_ARRIVAL, /**< A full queue refuses the newcomer. */
+	CGW_ADMISSION_URGENCY, /**< docs/design/admission.md */
+};
+
 struct cgw_settings {
 	char *instance;
 	char *domain; /**< Failure domain of this instance. */
@@ -52,6 +60,7 @@
 	int64_t response_head_max_bytes;
 	double min_share; /**< Share of a service's servers never ejected. */
 	enum cgw_placement placement;
+	enum cgw_admission admission;
 	cg_ms grace_ms; /**< Time from SIGTERM to SIGKILL. */
 	char *log_level;
 };
--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -38,6 +38,7 @@
 	"request_head_max_bytes",
 	"response_head_max_bytes",
 	"placement",
+	"admission",
 	NULL,
 };
 
@@ -106,31 +107,64 @@
 		       : 0;
 }
 
-static int get_placement(struct json_object *o, enum cgw_placement *out,
-			 struct cg_faults *f)
+/* Reads one of @n words; @out becomes its index. */
+static int get_choice(struct json_object *o, const char *name,
+		      const char *const *words, size_t n, int *out,
+		      struct cg_faults *f)
 {
-	static const char *const names[] = {
-		[CGW_PLACEMENT_AUTO] = "auto",
-		[CGW_PLACEMENT_LEAST_LOADED] = "least_loaded",
-		[CGW_PLACEMENT_EXPECTED_FINISH] = "expected_finish",
-	};
 	const char *text = NULL;
-	int rc = cg_json_get_string(o, "placement", "settings", &text, f);
+	int rc = cg_json_get_string(o, name, "settings", &text, f);
+	char *list;
 
 	if (rc)
 		return rc < 0 ? -1 : 0;
-	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
-		if (strcmp(text, names[i]) != 0)
+	for (size_t i = 0; i < n; i++) {
+		if (strcmp(text, words[i]) != 0)
 			continue;
-		*out = (enum cgw_placement)i;
+		*out = (int)i;
 		return 0;
 	}
-	cg_faults_add(f, "settings",
-		      "\"placement\" must be \"auto\", \"least_loaded\" or "
-		      "\"expected_finish\"");
+	list = g_strjoinv("\", \"", (char **)words);
+	cg_faults_add(f, "settings", "\"%s\" must be one of \"%s\"", name,
+		      list);
+	g_free(list);
 	return -1;
 }
 
+static int get_placement(struct json_object *o, enum cgw_placement *out,
+			 struct cg_faults *f)
+{
+	static const char *const words[] = {
+		[CGW_PLACEMENT_AUTO] = "auto",
+		[CGW_PLACEMENT_LEAST_LOADED] = "least_loaded",
+		[CGW_PLACEMENT_EXPECTED_FINISH] = "expected_finish",
+		NULL,
+	};
+	int choice = (int)*out;
+	int rc = get_choice(o, "placement", words, G_N_ELEMENTS(words) - 1,
+			    &choice, f);
+
+	*out = (enum cgw_placement)choice;
+	return rc;
+}
+
+static int get_admission(struct json_object *o, enum cgw_admission *out,
+			 struct cg_faults *f)
+{
+	static const char *const words[] = {
+		[CGW_ADMISSION_AUTO] = "auto",
+		[CGW_ADMISSION_ARRIVAL] = "arrival",
+		[CGW_ADMISSION_URGENCY] = "urgency",
+		NULL,
+	};
+	int choice = (int)*out;
+	int rc = get_choice(o, "admission", words, G_N_ELEMENTS(words) - 1,
+			    &choice, f);
+
+	*out = (enum cgw_admission)choice;
+	return rc;
+}
+
 static int read_settings(struct json_object *o, struct cgw_settings *s,
 			 struct cg_faults *f)
 {
@@ -169,6 +203,7 @@
 	rc |= get_number(o, "response_head_max_bytes", HEAD_LEAST_BYTES,
 			 HEAD_MOST_BYTES, &s->response_head_max_bytes, f);
 	rc |= get_placement(o, &s->placement, f);
+	rc |= get_admission(o, &s->admission, f);
 	rc |= get_fraction(o, "cpu_share", CPU_SHARE_MAX, &s->cpu_share, f);
 	rc |= get_fraction(o, "link_mbps", LINK_MBPS_MAX, &s->link_mbps, f);
 	return rc || f->n ? -1 : 0;
--- a/tests/test_gateway_settings.c
+++ b/tests/test_gateway_settings.c
@@ -47,6 +47,7 @@
 	assert_int_equal(s.descriptors_max, 65536);
 	assert_string_equal(s.log_level, "info");
 	assert_int_equal(s.placement, CGW_PLACEMENT_AUTO);
+	assert_int_equal(s.admission, CGW_ADMISSION_AUTO);
 	cgw_settings_clear(&s);
 }
 
@@ -62,6 +63,7 @@
 			      "\"grace_ms\":9000,\"log_level\":\"debug\","
 			      "\"server_heartbeat_ms\":400,"
 			      "\"placement\":\"expected_finish\","
+			      "\"admission\":\"urgency\","
 			      "\"metrics_port\":9464}",
 			      &s, &f),
 			 0);
@@ -70,6 +72,7 @@
 	assert_int_equal(s.metrics_port, 9464);
 	assert_int_equal(s.placement, CGW_PLACEMENT_EXPECTED_FINISH);
 	assert_string_equal(s.log_level, "debug");
+	assert_int_equal(s.admission, CGW_ADMISSION_URGENCY);
 	cgw_settings_clear(&s);
 }
 
@@ -86,6 +89,8 @@
 		"{" REQUIRED ",\"grace_ms\":1}",
 		"{" REQUIRED ",\"placement\":\"random\"}",
 		"{" REQUIRED ",\"placement\":1}",
+		"{" REQUIRED ",\"admission\":\"first\"}",
+		"{" REQUIRED ",\"admission\":1}",
 	};
 
 	(void)state;
