Evacuate failure domains and limit the requests of cold servers

Cause: an operator could not keep requests from the servers of a failure domain, and a cold server got as many requests as a warm one.

Change: the leader of a domain reads the object evacuations/ZONE twice within evacuation_bound_ms (one GET each 2.5 s for 5 s), and its broker grants none of the domain's servers while the object exists or the state is older than the bound. The state passes to the other daemons in pongs, so that one that takes over while the store is away knows it. Requests are redirected to other domains, waiting ones again every 100 ms; those that no domain can serve are refused after 1 s. Heartbeats tell the other brokers, which leave the servers out of the ejection floor. A cold server gets grants from a token bucket of warmup_per_s with half of warmup_slack as burst, so that all grants of 1.5 s may arrive within one second.

The head of the fixture's settings has evacuation_bound_ms only where a test sets it.

--- a/include/celeryglade/counters.h
+++ b/include/celeryglade/counters.h
@@ -50,6 +50,9 @@
 	X(SERVERS_SAID_LEAVING, "servers_said_leaving")                        \
 	X(SERVERS_WANTED_REST, "servers_wanted_rest")                          \
 	X(RETRY_AFTER_IGNORED, "retry_after_ignored")                          \
+	X(EVACUATION_READS, "evacuation_reads")                                \
+	X(EVACUATION_REDIRECTS, "evacuation_redirects")                        \
+	X(WARMUP_WITHHELD, "warmup_withheld")                                  \
 	X(DRAIN_NOTICES, "drain_notices")                                      \
 	X(REVOCATION_NOTICES, "revocation_notices")
 
--- a/include/gateway/broker.h
+++ b/include/gateway/broker.h
@@ -105,6 +105,10 @@
 	/** Share of a service's servers, over all domains, that is never
 	 * ejected. */
 	double min_share;
+	/** A cold server gets at most the rate of its service * warmup_burst
+	 * + warmup_slack requests in one second; warmup_burst 0: no limit. */
+	double warmup_burst;
+	double warmup_slack;
 	/** Returns whether a daemon has sent a message since @p since. If not,
 	 * asks it for one. Called with the argument of the decisions; NULL if
 	 * all daemons always are in touch. */
@@ -133,6 +137,27 @@
  * cgw_quota_broker_share(). */
 void cgw_broker_set_share(struct cgw_broker *b, double share);
 
+/** Sets whether the broker's own domain is evacuated. While it is, or after
+ * @p known_until, no slot is granted and requests are redirected to other
+ * domains; requests in flight are not affected. */
+void cgw_broker_set_evacuation(struct cgw_broker *b, bool evacuated,
+			       cg_ms known_until, cg_ms now);
+/** Returns whether the own domain is evacuated. */
+bool cgw_broker_is_evacuated(const struct cgw_broker *b);
+/** Records whether another domain's broker reports that its domain is
+ * evacuated. */
+void cgw_broker_record_domain_evacuation(struct cgw_broker *b,
+					 const char *domain, bool evacuated,
+					 cg_ms now);
+
+/** Sets how many requests a cold server of a service may get, in thousandths of
+ * a request per second; 0: no limit. */
+void cgw_broker_set_warmup_rate(struct cgw_broker *b, const char *service,
+				int64_t milli, cg_ms now);
+/** Must be called when this broker begins to grant slots that another one may
+ * have granted until now. */
+void cgw_broker_begin_to_lead(struct cgw_broker *b, cg_ms now);
+
 /** Replaces the list of servers of all domains. Ends the grants of servers that
  * left the list, restarted, or changed their address or service. */
 void cgw_broker_set_servers(struct cgw_broker *b,
--- a/include/gateway/fleet.h
+++ b/include/gateway/fleet.h
@@ -10,6 +10,7 @@
 #include <urcu/list.h>
 
 #include "gateway/broker.h"
+#include "gateway/evacuations.h"
 #include "gateway/feed.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/handoff.h"
@@ -60,6 +61,11 @@
 /** Sets what fetches the configuration from other daemons; not owned. */
 void cgw_fleet_set_handoff(struct cgw_fleet *f, struct cgw_handoff *h);
 
+/** Sets what tells whether the own domain is evacuated; not owned. */
+void cgw_fleet_set_evacuations(struct cgw_fleet *f, struct cgw_evacuations *e);
+/** Must be called after a read of the evacuation has ended. */
+void cgw_fleet_handle_evacuation(struct cgw_fleet *f);
+
 /** Size of a message authentication code as hexadecimal text, with its NUL. */
 #define CGW_FLEET_MAC_TEXT 65
 /** Computes the code of @p data under the fleet's secret. Returns 0, or -1 if
--- a/include/gateway/gateway.h
+++ b/include/gateway/gateway.h
@@ -20,6 +20,7 @@
 	struct cgw_loop *loop;
 	struct cgw_upstream *client;
 	struct cgw_feed *feed;
+	struct cgw_evacuations *evacuations;
 	struct cgw_fleet *fleet;
 	struct cgw_handoff *handoff;
 	struct cgw_ingress *ingress;
--- a/include/gateway/gateway_settings.h
+++ b/include/gateway/gateway_settings.h
@@ -49,6 +49,13 @@
 	 * bytes. Each connection has memory for both. */
 	int64_t request_head_max_bytes;
 	int64_t response_head_max_bytes;
+	/** Time within which an evacuation must be in force; 0: the store is
+	 * not asked. */
+	cg_ms evacuation_bound_ms;
+	/** A cold server gets at most the rate of its service * warmup_burst
+	 * + warmup_slack requests in one second; warmup_burst 0: no limit. */
+	double warmup_burst;
+	double warmup_slack;
 	double min_share; /**< Share of a service's servers never ejected. */
 	cg_ms grace_ms; /**< Time from SIGTERM to SIGKILL. */
 	char *log_level;
--- a/include/gateway/store_format.h
+++ b/include/gateway/store_format.h
@@ -56,6 +56,9 @@
 	 * @p wait_ms. */
 	char *(*servers_watch_target)(uint64_t revision, cg_ms wait_ms);
 
+	/** Of the object that asks for the evacuation of a failure domain. */
+	char *(*evacuation_target)(const char *domain);
+
 	/** Parses a configuration. Returns NULL if it is invalid. */
 	struct cgw_table *(*read_config)(const char *text, size_t len,
 					 char **why);
@@ -76,6 +79,10 @@
 	 * struct cgw_fleet_entry, without a revision. */
 	int (*read_fleet)(const char *text, size_t len, GArray *out,
 			  unsigned int *bad, char **after, char **why);
+	/** Checks the object at evacuation_target(). Returns 0 if it is one of
+	 * this domain, or -1. */
+	int (*read_evacuation)(const char *text, size_t len, const char *domain,
+			       char **why);
 	/** Returns the request body that creates an entry at
 	 * fleet_target(NULL, false), or replaces it at its own target. */
 	char *(*write_fleet)(const struct cgw_fleet_entry *e);
--- a/include/gateway/table.h
+++ b/include/gateway/table.h
@@ -86,6 +86,16 @@
 void cgw_table_add_service(struct cgw_table *t, const char *name,
 			   const char *health_path);
 
+/** Sets how many requests a cold server of a service may get, in thousandths of
+ * a request per second; 0: no limit. */
+void cgw_table_set_warmup_rate(struct cgw_table *t, const char *service,
+			       int64_t milli);
+int64_t cgw_table_warmup_rate(const struct cgw_table *t, const char *service);
+/** Calls @p visit with the name of each service. */
+void cgw_table_each_service(const struct cgw_table *t,
+			    void (*visit)(void *arg, const char *service),
+			    void *arg);
+
 /** Returns the route with the longest prefix of @p path (without its query)
  * for @p host (in any case, with or without a port), or NULL. */
 const struct cgw_route *cgw_table_find_route(const struct cgw_table *t,
--- a/src/gateway/broker.c
+++ b/src/gateway/broker.c
@@ -12,6 +12,7 @@
 	g_array_unref(s->first_attempts);
 	g_array_unref(s->retries);
 	g_hash_table_unref(s->domain_reports);
+	g_hash_table_unref(s->domain_servers);
 	g_free(s->name);
 	g_free(s);
 }
@@ -45,6 +46,9 @@
 	b->decide = decide;
 	b->arg = arg;
 	b->share = 1;
+	b->evacuation_known_until = CG_MS_NEVER;
+	b->evacuated_domains =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	b->token_waiters =
 		g_array_new(FALSE, FALSE, sizeof(struct cgw_slot_request));
 	b->quota = cgw_quota_new(s->domains);
@@ -74,6 +78,7 @@
 	g_array_unref(b->token_waiters);
 	g_hash_table_unref(b->latencies);
 	g_hash_table_unref(b->usage);
+	g_hash_table_unref(b->evacuated_domains);
 	cgw_quota_free(b->quota);
 	g_free(b);
 }
@@ -83,12 +88,6 @@
 	return b->quota;
 }
 
-void cgw_broker_set_share(struct cgw_broker *b, double share)
-{
-	b->share = share;
-	cgw_quota_set_broker_share(b->quota, share);
-}
-
 uint64_t cgw_broker_ejections(const struct cgw_broker *b)
 {
 	return b->ejections;
@@ -104,6 +103,8 @@
 	s = g_new0(struct cgw_service, 1);
 	s->name = g_strdup(name);
 	s->servers = g_ptr_array_new();
+	s->domain_servers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	CDS_INIT_LIST_HEAD(&s->waiting);
 	s->first_attempts = g_array_new(FALSE, FALSE, sizeof(cg_ms));
 	s->retries = g_array_new(FALSE, FALSE, sizeof(cg_ms));
@@ -177,6 +178,9 @@
 		cgw_route_latency_record(b, g->route, elapsed);
 	cgw_server_record_result(b, g, result, elapsed, now);
 	record_outcome(g, result, now);
+	/* Not sent, or rejected because the server is another process. */
+	if (result == CGW_RESULT_MISPLACED || result == CGW_RESULT_UNUSED)
+		cgw_warmup_return(&s->warmup, &g->server->warmup, now);
 	cgw_grant_end(b, g);
 	cgw_broker_grant_waiting(b, s, now);
 }
@@ -208,6 +212,7 @@
 		cgw_service_check_shortage(b, value, now);
 		cgw_service_enforce_floor(b, value, now);
 		cgw_broker_grant_waiting(b, value, now);
+		cgw_broker_redirect_waiting(b, value, now);
 		cgw_broker_refuse_expired(b, value, now);
 	}
 }
--- a/src/gateway/broker_domains.c
+++ b/src/gateway/broker_domains.c
@@ -1,16 +1,19 @@
 #define CG_PART "broker"
 #include "broker_internal.h"
 
-static int64_t count_free_slots(struct cgw_service *s, cg_ms now)
+static int64_t count_free_slots(const struct cgw_broker *b,
+				struct cgw_service *s, cg_ms now)
 {
 	int64_t n = 0;
 
-	for (guint i = 0; i < s->servers->len; i++) {
+	for (guint i = 0; i < s->servers->len && !cgw_broker_is_closed(b, now);
+	     i++) {
 		struct cgw_server *o = g_ptr_array_index(s->servers, i);
 
 		if (cgw_server_trust(o, now) == CGW_TRUST_HEALTHY &&
 		    cgw_server_has_room(o, now))
-			n += o->facts.slots - o->inflight;
+			n += MIN(o->facts.slots - o->inflight,
+				 cgw_server_warmup_room(o, now));
 	}
 	return n - (int64_t)s->waiting_count;
 }
@@ -20,7 +23,7 @@
 {
 	struct cgw_service *s = g_hash_table_lookup(b->services, service);
 
-	return s ? count_free_slots(s, now) : 0;
+	return s ? count_free_slots(b, s, now) : 0;
 }
 
 static struct cgw_domain_report *get_or_add_report(struct cgw_service *s,
@@ -76,8 +79,10 @@
 	while (g_hash_table_iter_next(&it, &key, &value)) {
 		struct cgw_service_state state = {
 			.service = key,
-			.free_slots = count_free_slots(value, now),
-			.ejected = cgw_service_ejected(value, now),
+			.free_slots = count_free_slots(b, value, now),
+			.ejected = b->evacuated
+					   ? 0
+					   : cgw_service_ejected(value, now),
 		};
 
 		cgw_outcome_window_sum(&((struct cgw_service *)value)->outcomes,
--- a/src/gateway/broker_internal.h
+++ b/src/gateway/broker_internal.h
@@ -11,6 +11,7 @@
 #include "broker_evidence.h"
 #include "broker_floor.h"
 #include "gateway/broker.h"
+#include "warmup.h"
 
 /** Latency of the served requests of a route. */
 struct cgw_route_latency {
@@ -28,6 +29,9 @@
 	GArray *retries; /**< cg_ms of each in the retry window. */
 	GHashTable *domain_reports; /**< domain to struct cgw_domain_report */
 	int64_t fleet_servers; /**< Of all domains, without leaving ones. */
+	GHashTable *domain_servers; /**< The same by domain, as integers. */
+	int64_t warmup_milli; /**< Requests of a cold server; 0: no limit. */
+	struct cgw_warmup_limit warmup; /**< From this and the settings. */
 	struct cgw_failure_model failures;
 	struct cgw_outcome_window outcomes; /**< Of this domain's requests. */
 	/** Runs short: too many of its requests are not served. */
@@ -71,6 +75,8 @@
 	bool said_leaving; /**< By itself; its entry may not show it. */
 	cg_ms rest_until; /**< It wants no requests until then. */
 	cg_ms warmup_until;
+	cg_ms assumed_cold_until; /**< After an evacuation. */
+	struct cgw_warmup warmup;
 	cg_ms last_granted_at;
 	bool listed; /**< Found in the list that is being applied. */
 };
@@ -116,6 +122,12 @@
 	uint64_t ejections;
 	/** Of the domain's rates and retry budget. */
 	double share;
+	bool evacuated; /**< This domain. */
+	/** Until then the state above may be relied on. */
+	cg_ms evacuation_known_until;
+	/** Other domains that report an evacuation, to the time of the last
+	 * report (cg_ms). */
+	GHashTable *evacuated_domains;
 };
 
 /* broker.c */
@@ -136,6 +148,10 @@
 				cg_ms typical, cg_ms overdue);
 /** Counts the slots of healthy servers, free or not. */
 int64_t cgw_service_healthy_slots(struct cgw_service *s, cg_ms now);
+/** Redirects a request to the domain with the most free slots. Returns whether
+ * it did. */
+bool cgw_broker_redirect(struct cgw_broker *b, struct cgw_service *s,
+			 const struct cgw_slot_request *request, cg_ms now);
 /** Grants a slot or redirects the request. Returns whether it did either. */
 bool cgw_broker_grant_or_redirect(struct cgw_broker *b, struct cgw_service *s,
 				  const struct cgw_slot_request *request,
@@ -162,6 +178,32 @@
 void cgw_broker_refuse_expired(struct cgw_broker *b, struct cgw_service *s,
 			       cg_ms now);
 
+/* broker_evacuation.c */
+/** Returns whether no slot may be granted: the domain is evacuated, or whether
+ * it is has not been known recently. */
+bool cgw_broker_is_closed(const struct cgw_broker *b, cg_ms now);
+/** Returns whether another domain's broker has recently reported that its domain
+ * is evacuated. */
+bool cgw_broker_other_is_evacuated(const struct cgw_broker *b,
+				   const char *domain, cg_ms now);
+/** Returns the number of the service's servers in all domains that are not
+ * evacuated. */
+int64_t cgw_service_floor_servers(const struct cgw_broker *b,
+				  const struct cgw_service *s, cg_ms now);
+/** In an evacuated domain, redirects waiting requests that other domains have
+ * refused before. */
+void cgw_broker_redirect_waiting(struct cgw_broker *b, struct cgw_service *s,
+				 cg_ms now);
+
+/* broker_warmup.c */
+/** Returns whether a server is cold and the number of its requests limited. */
+bool cgw_server_is_limited(const struct cgw_server *s, cg_ms now);
+/** Returns how many requests the server may get by its warm-up. */
+int64_t cgw_server_warmup_room(const struct cgw_server *s, cg_ms now);
+/** Counts if the service has a cold server with a free slot that must not get
+ * the request now. */
+void cgw_service_count_withheld(const struct cgw_service *s, cg_ms now);
+
 /* broker_trust.c */
 /** Returns the present trust of a server. Ends an ejection that is over. */
 enum cgw_trust cgw_server_trust(struct cgw_server *s, cg_ms now);
--- a/src/gateway/broker_placement.c
+++ b/src/gateway/broker_placement.c
@@ -17,6 +17,10 @@
  * sent again. All others may show whether it does. */
 #define FAILING_WEIGHT 2.0
 
+/* Load that a cold server adds whose requests are limited: warm ones come first.
+ * Above the sum of all others. */
+#define COLD_LOAD 100.0
+
 static bool excludes(const struct cgw_slot_request *request, const char *server)
 {
 	for (unsigned int i = 0; i < request->avoid_count; i++)
@@ -54,6 +58,8 @@
 	load += age_load(s, now);
 	if (s->warmup_until > now)
 		load = 2 * load + 0.5;
+	if (cgw_server_is_limited(s, now))
+		load += COLD_LOAD;
 	if (cgw_server_is_due(s, may_retry, now))
 		load -= 1;
 	if (!may_retry && !s->probation)
@@ -146,6 +152,7 @@
 	g->overdue_at = now + overdue;
 	s->inflight++;
 	s->last_granted_at = now;
+	cgw_warmup_take(&s->service->warmup, &s->warmup, now);
 	*cgw_broker_usage(b, request->account, now) += (double)typical;
 	cds_list_add_tail(&g->node, &s->grants);
 	g_hash_table_insert(b->grants, g->key, g);
@@ -173,12 +180,13 @@
  * a healthy server uses even a domain that reported none, since slots are
  * released more often than the domains send reports. Returns whether the
  * request was redirected; a request is redirected at most once. */
-static bool redirect_request(struct cgw_broker *b, struct cgw_service *s,
-			     const struct cgw_slot_request *request, cg_ms now)
+bool cgw_broker_redirect(struct cgw_broker *b, struct cgw_service *s,
+			 const struct cgw_slot_request *request, cg_ms now)
 {
 	struct cgw_slot_decision d = { .kind = CGW_DECISION_REDIRECTED,
 				       .id = request->id };
-	bool no_healthy_slot = !cgw_service_healthy_slots(s, now);
+	bool no_healthy_slot =
+		b->evacuated || !cgw_service_healthy_slots(s, now);
 	struct cgw_domain_report *best = NULL;
 	GHashTableIter it;
 	gpointer key, value;
@@ -190,6 +198,7 @@
 		struct cgw_domain_report *n = value;
 
 		if (now - n->received_at > CGW_DOMAIN_REPORT_VALID_MS ||
+		    cgw_broker_other_is_evacuated(b, key, now) ||
 		    (n->free_slots <= RESERVED_FREE_SLOTS &&
 		     !no_healthy_slot) ||
 		    (best && best->free_slots >= n->free_slots))
@@ -210,12 +219,16 @@
 				  const struct cgw_slot_request *request,
 				  cg_ms now)
 {
-	struct cgw_server *o = pick_server(s, request, CGW_TRUST_HEALTHY, now);
+	bool closed = cgw_broker_is_closed(b, now);
+	struct cgw_server *o =
+		closed ? NULL : pick_server(s, request, CGW_TRUST_HEALTHY, now);
 
+	if (!o && !closed)
+		cgw_service_count_withheld(s, now);
 	if (!o && !request->cross_domain &&
-	    redirect_request(b, s, request, now))
+	    cgw_broker_redirect(b, s, request, now))
 		return true;
-	if (!o && !request->cross_domain)
+	if (!o && !closed && !request->cross_domain)
 		o = pick_server(s, request, CGW_TRUST_SUSPECT, now);
 	if (!o)
 		return false;
--- a/src/gateway/broker_servers.c
+++ b/src/gateway/broker_servers.c
@@ -5,6 +5,10 @@
 
 #include "internal/logging.h"
 
+/* A request that was granted this long ago may still be counted by its server in
+ * the present second. */
+#define HELD_COUNTS_MS 1500
+
 void cgw_broker_record_notice(struct cgw_broker *b, const char *server,
 			      int64_t started_wall_ms,
 			      const struct cgw_server_notice *said, cg_ms now)
@@ -48,6 +52,8 @@
 	g->deadline = now + h->remaining;
 	g->overdue_at = MAX(g->started_at + overdue, now + typical);
 	s->inflight++;
+	if (h->age < HELD_COUNTS_MS)
+		cgw_warmup_take(&s->service->warmup, &s->warmup, now);
 	cds_list_add_tail(&g->node, &s->grants);
 	g_hash_table_insert(b->grants, g->key, g);
 }
@@ -120,7 +126,7 @@
 
 /* Resets a server that left or restarted. Its grants end, since its requests in
  * flight are lost. */
-static void reset_server(struct cgw_broker *b, struct cgw_server *s)
+static void reset_server(struct cgw_broker *b, struct cgw_server *s, cg_ms now)
 {
 	struct cgw_grant *g, *next;
 
@@ -137,6 +143,8 @@
 	s->full_until = 0;
 	s->rest_until = 0;
 	s->said_leaving = false;
+	s->assumed_cold_until = 0;
+	cgw_warmup_start(&s->warmup, now);
 }
 
 static void update_server(struct cgw_broker *b,
@@ -150,16 +158,17 @@
 		CDS_INIT_LIST_HEAD(&s->grants);
 		s->facts = *f;
 		s->service = service;
+		cgw_warmup_start(&s->warmup, now);
 		g_hash_table_insert(b->servers, s->facts.id, s);
 		g_ptr_array_add(service->servers, s);
 	} else if (s->service != service) {
 		g_ptr_array_remove(s->service->servers, s);
 		g_ptr_array_add(service->servers, s);
 		s->service = service;
-		reset_server(b, s);
+		reset_server(b, s, now);
 	} else if (s->facts.started_wall_ms != f->started_wall_ms ||
 		   strcmp(s->facts.address, f->address) != 0) {
-		reset_server(b, s);
+		reset_server(b, s, now);
 	}
 	if (f->leaving && !s->facts.leaving)
 		cg_info("server %s of service %s leaves: it gets no new "
@@ -173,6 +182,25 @@
 	s->listed = true;
 }
 
+static void clear_counts(struct cgw_service *s)
+{
+	s->fleet_servers = 0;
+	g_hash_table_remove_all(s->domain_servers);
+}
+
+static void count_server(struct cgw_broker *b, const struct cgw_server_facts *f)
+{
+	struct cgw_service *s = cgw_broker_get_service(b, f->service);
+	int n = GPOINTER_TO_INT(
+		g_hash_table_lookup(s->domain_servers, f->domain));
+
+	if (f->leaving)
+		return;
+	s->fleet_servers++;
+	g_hash_table_replace(s->domain_servers, g_strdup(f->domain),
+			     GINT_TO_POINTER(n + 1));
+}
+
 void cgw_broker_set_servers(struct cgw_broker *b,
 			    const struct cgw_server_facts *servers, size_t n,
 			    cg_ms now)
@@ -185,10 +213,9 @@
 		((struct cgw_server *)value)->listed = false;
 	g_hash_table_iter_init(&it, b->services);
 	while (g_hash_table_iter_next(&it, NULL, &value))
-		((struct cgw_service *)value)->fleet_servers = 0;
+		clear_counts(value);
 	for (size_t i = 0; i < n; i++) {
-		cgw_broker_get_service(b, servers[i].service)->fleet_servers +=
-			!servers[i].leaving;
+		count_server(b, &servers[i]);
 		if (!strcmp(servers[i].domain, b->settings.domain))
 			update_server(b, &servers[i], now);
 	}
@@ -201,7 +228,7 @@
 		cg_info("server %s of service %s is listed no more, %d requests "
 			"in flight",
 			s->facts.id, s->service->name, (int)s->inflight);
-		reset_server(b, s);
+		reset_server(b, s, now);
 		g_ptr_array_remove(s->service->servers, s);
 		g_hash_table_iter_remove(&it);
 	}
--- a/src/gateway/broker_trust.c
+++ b/src/gateway/broker_trust.c
@@ -113,9 +113,12 @@
 		reporting++;
 		ejected_count += n->ejected;
 	}
+	if (b->evacuated)
+		return G_MAXINT64;
 	if (reporting < b->settings.domains)
 		return max_ejected(b, count_servers(s, false, now)) - own;
-	return max_ejected(b, s->fleet_servers) - ejected_count;
+	return max_ejected(b, cgw_service_floor_servers(b, s, now)) -
+	       ejected_count;
 }
 
 static void clear_run(struct cgw_server *s)
@@ -383,7 +386,8 @@
 
 bool cgw_server_has_room(struct cgw_server *s, cg_ms now)
 {
-	if (s->facts.leaving || s->full_until > now || s->rest_until > now)
+	if (s->facts.leaving || s->full_until > now || s->rest_until > now ||
+	    cgw_server_warmup_room(s, now) < 1)
 		return false;
 	if (cgw_server_trust(s, now) != CGW_TRUST_HEALTHY)
 		return s->inflight - s->overdue < 1 &&
--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -19,16 +19,33 @@
 	if (leading)
 		cgw_quota_begin_to_lead(cgw_broker_quota(f->broker),
 					cgw_loop_now(f->loop));
+	if (leading)
+		cgw_broker_begin_to_lead(f->broker, cgw_loop_now(f->loop));
 	cgw_feed_set_polling(*f->feed, leading);
+	if (f->evacuations)
+		cgw_evacuations_set_reading(f->evacuations, leading);
 }
 
-void cgw_fleet_handle_server_list(struct cgw_fleet *f)
+static cg_ms evacuation_known_until(struct cgw_fleet *f)
+{
+	return f->evacuations ? cgw_evacuation_known_until(
+					cgw_evacuations_state(f->evacuations),
+					cgw_loop_now(f->loop))
+			      : CG_MS_NEVER;
+}
+
+bool cgw_fleet_may_decide(struct cgw_fleet *f)
+{
+	return f->servers_fresh &&
+	       evacuation_known_until(f) >= cgw_loop_now(f->loop);
+}
+
+static void submit_pending(struct cgw_fleet *f)
 {
 	GArray *pending = f->pending_requests;
 
-	if (!f->leading)
+	if (!pending->len || !cgw_fleet_may_decide(f))
 		return;
-	f->servers_fresh = true;
 	f->pending_requests =
 		g_array_new(FALSE, FALSE, sizeof(struct cgw_slot_request));
 	for (guint i = 0; i < pending->len; i++)
@@ -39,6 +56,25 @@
 	g_array_unref(pending);
 }
 
+void cgw_fleet_handle_server_list(struct cgw_fleet *f)
+{
+	if (!f->leading)
+		return;
+	f->servers_fresh = true;
+	submit_pending(f);
+}
+
+void cgw_fleet_handle_evacuation(struct cgw_fleet *f)
+{
+	if (!f->evacuations)
+		return;
+	cgw_broker_set_evacuation(
+		f->broker, cgw_evacuations_state(f->evacuations)->evacuated,
+		evacuation_known_until(f), cgw_loop_now(f->loop));
+	if (f->leading)
+		submit_pending(f);
+}
+
 static void on_tick(struct cgw_timer *t)
 {
 	struct cgw_fleet *f = caa_container_of(t, struct cgw_fleet, tick_timer);
@@ -55,6 +91,7 @@
 	 * failure of long ago would put servers into use that have left. */
 	if (!f->servers_fresh && cgw_feed_is_unreachable(*f->feed))
 		cgw_fleet_handle_server_list(f);
+	cgw_fleet_handle_evacuation(f);
 	if (f->leading) {
 		cgw_fleet_expire_followers(f);
 		cgw_broker_set_share(f->broker, cgw_fleet_rate_share(f));
@@ -94,6 +131,8 @@
 		.retry_slack = s->retry_slack,
 		.retry_window_ms = s->retry_window_ms,
 		.min_share = s->min_share,
+		.warmup_burst = s->warmup_burst,
+		.warmup_slack = s->warmup_slack,
 		.heard_since = cgw_fleet_heard_since,
 	};
 
@@ -154,6 +193,11 @@
 	f->handoff = h;
 }
 
+void cgw_fleet_set_evacuations(struct cgw_fleet *f, struct cgw_evacuations *e)
+{
+	f->evacuations = e;
+}
+
 void cgw_fleet_leave(struct cgw_fleet *f)
 {
 	f->leaving = true;
--- a/src/gateway/fleet_heartbeat.c
+++ b/src/gateway/fleet_heartbeat.c
@@ -144,6 +144,7 @@
 	b.fleet_body_u.heartbeat.outcomes.outcomes_val = (void *)outcomes->data;
 	b.fleet_body_u.heartbeat.outcomes.outcomes_len = outcomes->len;
 	b.fleet_body_u.heartbeat.followers = cgw_fleet_follower_count(f) + 1;
+	b.fleet_body_u.heartbeat.evacuated = cgw_broker_is_evacuated(f->broker);
 	add_contacts(f, contacts);
 	b.fleet_body_u.heartbeat.contacts.contacts_val = (void *)contacts->data;
 	b.fleet_body_u.heartbeat.contacts.contacts_len = contacts->len;
@@ -241,6 +242,8 @@
 		return;
 	cgw_fleet_record_other_broker(f, m->domain, m->name, m->ip);
 	record_followers(f, m->domain, b->followers);
+	cgw_broker_record_domain_evacuation(f->broker, m->domain, b->evacuated,
+					    now);
 	for (u_int i = 0; i < b->services.services_len; i++) {
 		const fleet_service *x = &b->services.services_val[i];
 		struct cgw_service_state state = {
--- a/src/gateway/fleet_internal.h
+++ b/src/gateway/fleet_internal.h
@@ -136,6 +136,7 @@
 	const struct cgw_settings *settings;
 	struct cgw_feed **feed;
 	struct cgw_handoff *handoff; /* not owned */
+	struct cgw_evacuations *evacuations; /* not owned; NULL: never */
 	unsigned int capacity; /* of this machine */
 	unsigned int domain_daemons; /* as the leader last reported */
 	cg_ms servers_fetched_at; /* last fetch from another daemon */
@@ -166,7 +167,7 @@
 	struct cgw_server_notices *notices; /* to this daemon */
 	bool servers_fresh; /* list read since this daemon leads */
 	bool decision_made; /* the broker decided during the submission */
-	/* struct cgw_slot_request that wait for the list of servers */
+	/* struct cgw_slot_request that wait until the broker may decide */
 	GArray *pending_requests;
 	struct cds_list_head slots; /* struct cgw_slot in use */
 	uint64_t next_id;
@@ -281,5 +282,8 @@
 /** Starts or ends the work of a leader: only a daemon that leads polls the
  * store and ticks its broker. */
 void cgw_fleet_set_leading(struct cgw_fleet *f, bool leading);
+/** Returns whether the own broker may decide: the list of servers has been read
+ * since this daemon leads, and whether the domain is evacuated is known. */
+bool cgw_fleet_may_decide(struct cgw_fleet *f);
 
 #endif
--- a/src/gateway/fleet_slots.c
+++ b/src/gateway/fleet_slots.c
@@ -6,13 +6,15 @@
 
 #include "internal/logging.h"
 
-/* Requests that arrive before the list of servers has been read wait for it:
- * the list from this daemon's start may name servers that have left. */
+/* Requests that arrive before the list of servers has been read, or before it is
+ * known whether the domain is evacuated, wait for that: the list from this
+ * daemon's start may name servers that have left. */
 void cgw_fleet_submit_request(struct cgw_fleet *f,
 			      const struct cgw_slot_request *request)
 {
 	cgw_fleet_set_leading(f, true);
-	if (f->servers_fresh)
+	cgw_fleet_handle_evacuation(f);
+	if (cgw_fleet_may_decide(f))
 		cgw_broker_request_slot(f->broker, request,
 					cgw_loop_now(f->loop));
 	else
@@ -461,7 +463,8 @@
 	for (unsigned int i = 0; i < request.avoid_count; i++)
 		g_strlcpy(request.avoid[i], q->avoid.avoid_val[i],
 			  sizeof(request.avoid[i]));
-	if (request.cross_domain && !cgw_fleet_servers_are_recent(f)) {
+	if (request.cross_domain &&
+	    (!cgw_fleet_servers_are_recent(f) || !cgw_fleet_may_decide(f))) {
 		struct cgw_slot_decision d = { .kind = CGW_DECISION_REFUSED,
 					       .id = request.id };
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -65,12 +65,30 @@
 	return NULL;
 }
 
+static void set_warmup_rate(void *arg, const char *service)
+{
+	struct cgw_gateway *g = arg;
+
+	cgw_broker_set_warmup_rate(
+		cgw_fleet_broker(g->fleet), service,
+		cgw_table_warmup_rate(cgw_feed_table(g->feed), service),
+		cgw_loop_now(g->loop));
+}
+
 static void on_table(void *arg, struct cgw_table *t)
 {
 	struct cgw_gateway *g = arg;
 
 	cgw_quota_configure(cgw_broker_quota(cgw_fleet_broker(g->fleet)), t,
 			    cgw_loop_now(g->loop));
+	cgw_table_each_service(t, set_warmup_rate, g);
+}
+
+static void on_evacuation(void *arg)
+{
+	struct cgw_gateway *g = arg;
+
+	cgw_fleet_handle_evacuation(g->fleet);
 }
 
 static void on_servers(void *arg, const struct cgw_server_facts *s, size_t n)
@@ -116,6 +134,9 @@
 	if (!g->handoff)
 		return -1;
 	cgw_fleet_set_handoff(g->fleet, g->handoff);
+	g->evacuations = cgw_evacuations_new(g->loop, g->client, &g->settings,
+					     g->format, on_evacuation, g);
+	cgw_fleet_set_evacuations(g->fleet, g->evacuations);
 	g->ingress = cgw_ingress_new(g);
 	if (!g->ingress)
 		return -1;
@@ -129,6 +150,7 @@
 	cgw_ingress_free(g->ingress);
 	cgw_handoff_free(g->handoff);
 	cgw_fleet_free(g->fleet);
+	cgw_evacuations_free(g->evacuations);
 	cgw_feed_free(g->feed);
 	cgw_upstream_free(g->client);
 	cgw_log_close();
--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -4,6 +4,8 @@
 
 #define CPU_SHARE_MAX	 1024
 #define LINK_MBPS_MAX	 1000000
+#define WARMUP_BURST_MAX 100
+#define WARMUP_SLACK_MAX 100000
 #define HEAD_LEAST_BYTES 4096
 #define HEAD_MOST_BYTES	 (1024 * 1024)
 /* A leader sends about 10 bits for each unit of processor time that it
@@ -33,6 +35,9 @@
 	"descriptors_max",
 	"cpu_share",
 	"link_mbps",
+	"evacuation_bound_ms",
+	"warmup_burst",
+	"warmup_slack",
 	"response_max_bytes",
 	"responses_max_bytes",
 	"request_head_max_bytes",
@@ -142,6 +147,12 @@
 			 HEAD_MOST_BYTES, &s->request_head_max_bytes, f);
 	rc |= get_number(o, "response_head_max_bytes", HEAD_LEAST_BYTES,
 			 HEAD_MOST_BYTES, &s->response_head_max_bytes, f);
+	rc |= get_number(o, "evacuation_bound_ms", 0, 3600000,
+			 &s->evacuation_bound_ms, f);
+	rc |= get_fraction(o, "warmup_burst", WARMUP_BURST_MAX,
+			   &s->warmup_burst, f);
+	rc |= get_fraction(o, "warmup_slack", WARMUP_SLACK_MAX,
+			   &s->warmup_slack, f);
 	rc |= get_fraction(o, "cpu_share", CPU_SHARE_MAX, &s->cpu_share, f);
 	rc |= get_fraction(o, "link_mbps", LINK_MBPS_MAX, &s->link_mbps, f);
 	return rc || f->n ? -1 : 0;
--- a/src/gateway/table.c
+++ b/src/gateway/table.c
@@ -16,6 +16,7 @@
 	GHashTable *accounts; /* key to struct cgw_account */
 	GHashTable *keys; /* struct digest to struct cgw_account, not owned */
 	GHashTable *services; /* name to health path */
+	GHashTable *warmup_rates; /* service to int64_t, thousandths */
 };
 
 static guint digest_hash(gconstpointer p)
@@ -68,6 +69,8 @@
 					    free_account);
 	t->keys =
 		g_hash_table_new_full(digest_hash, digest_equal, g_free, NULL);
+	t->warmup_rates =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	t->services =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return t;
@@ -87,6 +90,7 @@
 	g_hash_table_unref(t->accounts);
 	g_hash_table_unref(t->routes);
 	g_hash_table_unref(t->services);
+	g_hash_table_unref(t->warmup_rates);
 	g_free(t);
 }
 
@@ -181,6 +185,32 @@
 			     g_strdup(health_path));
 }
 
+void cgw_table_set_warmup_rate(struct cgw_table *t, const char *service,
+			       int64_t milli)
+{
+	g_hash_table_replace(t->warmup_rates, g_strdup(service),
+			     g_memdup2(&milli, sizeof(milli)));
+}
+
+int64_t cgw_table_warmup_rate(const struct cgw_table *t, const char *service)
+{
+	const int64_t *milli = g_hash_table_lookup(t->warmup_rates, service);
+
+	return milli ? *milli : 0;
+}
+
+void cgw_table_each_service(const struct cgw_table *t,
+			    void (*visit)(void *arg, const char *service),
+			    void *arg)
+{
+	GHashTableIter it;
+	gpointer key;
+
+	g_hash_table_iter_init(&it, t->services);
+	while (g_hash_table_iter_next(&it, &key, NULL))
+		visit(arg, key);
+}
+
 const struct cgw_route *cgw_table_find_route(const struct cgw_table *t,
 					     const char *host, const char *path)
 {
--- a/src/rpc/fleet_wire.x
+++ b/src/rpc/fleet_wire.x
@@ -32,6 +32,10 @@
 	unsigned int capacity; /* of the sender's machine */
 };
 
+const FLEET_EVACUATION_UNKNOWN = 0;
+const FLEET_EVACUATION_NONE = 1;
+const FLEET_EVACUATION_ASKED = 2;
+
 struct fleet_pong {
 	unsigned hyper echo_ms; /* sent_ms of the ping */
 	int eligibility; /* enum cgw_eligibility of the sender */
@@ -47,6 +51,9 @@
 	 * receiver must read it from the store. */
 	unsigned int config_source_ip;
 	unsigned int domain_daemons; /* that follow the sender, and itself */
+	/* Since version 5: whether the sender's domain is evacuated. */
+	int evacuation; /* FLEET_EVACUATION_* */
+	unsigned int evacuation_age_ms; /* since the start of that read */
 };
 
 struct fleet_slot_request {
@@ -173,6 +180,8 @@
 	bool has_totals;
 	/* Daemons that follow the sender, itself included; 0 if unknown. */
 	unsigned int followers;
+	/* The sender's domain is evacuated. */
+	bool evacuated;
 };
 
 enum fleet_kind {
--- a/src/rpc/gen/fleet_wire.h
+++ b/src/rpc/gen/fleet_wire.h
@@ -41,6 +41,9 @@
 	u_int capacity;
 };
 typedef struct fleet_ping fleet_ping;
+#define FLEET_EVACUATION_UNKNOWN 0
+#define FLEET_EVACUATION_NONE 1
+#define FLEET_EVACUATION_ASKED 2
 
 struct fleet_pong {
 	u_quad_t echo_ms;
@@ -52,6 +55,8 @@
 	u_int broker_ip;
 	u_int config_source_ip;
 	u_int domain_daemons;
+	int evacuation;
+	u_int evacuation_age_ms;
 };
 typedef struct fleet_pong fleet_pong;
 
@@ -194,6 +199,7 @@
 	} contacts;
 	bool_t has_totals;
 	u_int followers;
+	bool_t evacuated;
 };
 typedef struct fleet_heartbeat fleet_heartbeat;
 
--- a/src/rpc/gen/fleet_wire_xdr.c
+++ b/src/rpc/gen/fleet_wire_xdr.c
@@ -69,7 +69,7 @@
 			 return FALSE;
 		 if (!xdr_fleet_name (xdrs, &objp->broker))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->capacity))
 				 return FALSE;
@@ -79,11 +79,17 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->domain_daemons))
 				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->evacuation))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->evacuation_age_ms))
+				 return FALSE;
 		} else {
 			IXDR_PUT_U_LONG(buf, objp->capacity);
 			IXDR_PUT_U_LONG(buf, objp->broker_ip);
 			IXDR_PUT_U_LONG(buf, objp->config_source_ip);
 			IXDR_PUT_U_LONG(buf, objp->domain_daemons);
+			IXDR_PUT_LONG(buf, objp->evacuation);
+			IXDR_PUT_U_LONG(buf, objp->evacuation_age_ms);
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
@@ -97,7 +103,7 @@
 			 return FALSE;
 		 if (!xdr_fleet_name (xdrs, &objp->broker))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->capacity))
 				 return FALSE;
@@ -107,11 +113,17 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->domain_daemons))
 				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->evacuation))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->evacuation_age_ms))
+				 return FALSE;
 		} else {
 			objp->capacity = IXDR_GET_U_LONG(buf);
 			objp->broker_ip = IXDR_GET_U_LONG(buf);
 			objp->config_source_ip = IXDR_GET_U_LONG(buf);
 			objp->domain_daemons = IXDR_GET_U_LONG(buf);
+			objp->evacuation = IXDR_GET_LONG(buf);
+			objp->evacuation_age_ms = IXDR_GET_U_LONG(buf);
 		}
 	 return TRUE;
 	}
@@ -134,6 +146,10 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->domain_daemons))
 		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->evacuation))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->evacuation_age_ms))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -436,6 +452,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->followers))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->evacuated))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/tests/support/gateway_broker_fixture.c
+++ b/tests/support/gateway_broker_fixture.c
@@ -26,6 +26,8 @@
 		.retry_slack = 20,
 		.retry_window_ms = 10000,
 		.min_share = 0.7,
+		.warmup_burst = 1.5,
+		.warmup_slack = 8,
 		.heard_since = heard_since,
 	};
 
--- a/tests/support/gateway_fleet.c
+++ b/tests/support/gateway_fleet.c
@@ -42,7 +42,7 @@
 
 void gf_write_settings(struct gateway_fleet *f, unsigned int i)
 {
-	char cpu_share[48] = "";
+	char cpu_share[48] = "", evacuation[48] = "";
 	char *path = settings_path(f, i);
 	char ip[32];
 	char *text;
@@ -51,16 +51,21 @@
 	if (f->cpu_share[i] > 0)
 		g_snprintf(cpu_share, sizeof(cpu_share), "\"cpu_share\": %g,",
 			   f->cpu_share[i]);
+	if (f->evacuation_bound_ms)
+		g_snprintf(evacuation, sizeof(evacuation),
+			   "\"evacuation_bound_ms\": %u,",
+			   f->evacuation_bound_ms);
 	text = g_strdup_printf(
-		"{ %s \"instance\": \"d%u\", \"domain\": \"%s\","
+		"{ %s %s \"instance\": \"d%u\", \"domain\": \"%s\","
 		" \"address\": \"%s\", \"domains\": [\"a\", \"b\"],"
 		" \"listen\": \"%s:%u\", \"ready\": \"%s:%u\","
 		" \"peer_port\": %u, \"store\": \"127.0.0.1:%u\","
 		" \"retry_slack\": 40, \"key_proof_ms\": 3000,"
 		" \"grace_ms\": 6000, /* comments are allowed */"
 		" \"log_level\": \"info\" }",
-		cpu_share, i, domain_index(f, i) ? "b" : "a", ip, ip, f->ports,
-		ip, f->ports + 1, f->ports + 2, objects_port(f->store));
+		cpu_share, evacuation, i, domain_index(f, i) ? "b" : "a", ip,
+		ip, f->ports, ip, f->ports + 1, f->ports + 2,
+		objects_port(f->store));
 	assert_true(g_file_set_contents(path, text, -1, NULL));
 	g_free(text);
 	g_free(path);
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -28,6 +28,7 @@
 	unsigned int max_body_bytes;
 	/** Settings of the daemons from their next start on; 0: left out. */
 	double cpu_share[GF_DAEMONS];
+	unsigned int evacuation_bound_ms; /**< Of all daemons. */
 	/** Limit of a daemon's descriptors from its next start on; 0: the
 	 * test's own. */
 	unsigned int descriptors[GF_DAEMONS];
--- a/tests/test_gateway_settings.c
+++ b/tests/test_gateway_settings.c
@@ -45,6 +45,8 @@
 	assert_int_equal(s.grace_ms, 6000);
 	assert_int_equal(s.server_heartbeat_ms, 1500);
 	assert_int_equal(s.descriptors_max, 65536);
+	assert_int_equal(s.evacuation_bound_ms, 0);
+	assert_true(s.warmup_burst <= 0 && s.warmup_slack <= 0);
 	assert_string_equal(s.log_level, "info");
 	cgw_settings_clear(&s);
 }
@@ -79,6 +81,10 @@
 		"{" REQUIRED ",\"peer_port\":70000}",
 		"{" REQUIRED ",\"retry_ratio\":\"much\"}",
 		"{" REQUIRED ",\"min_share\":1.5}",
+		"{" REQUIRED ",\"evacuation_bound_ms\":-1}",
+		"{" REQUIRED ",\"evacuation_bound_ms\":3600001}",
+		"{" REQUIRED ",\"warmup_burst\":101}",
+		"{" REQUIRED ",\"warmup_slack\":-1}",
 		"{" REQUIRED ",\"seeds\":[5]}",
 		"{" REQUIRED ",\"grace_ms\":1}",
 	};
--- a/tests/test_platform_format.c
+++ b/tests/test_platform_format.c
@@ -30,7 +30,8 @@
 	"{\"name\":\"r3\",\"kind\":\"download\",\"match\":{"
 	"\"path_prefix\":\"/d/\"},\"action\":{\"service\":\"s1\","
 	"\"timeout_ms\":3000,\"attempts\":2}}]}],"
-	"\"clusters\":[{\"name\":\"s1\",\"health_path\":\"/health\"}]}}";
+	"\"clusters\":[{\"name\":\"s1\",\"health_path\":\"/health\","
+	"\"warmup_s\":20,\"warmup_per_s\":12.5},{\"name\":\"s2\"}]}}";
 
 static struct cgw_table *read_text(const char *text, char **why)
 {
@@ -446,6 +447,52 @@
 	g_rand_free(r);
 }
 
+static int read_evacuation(const char *text)
+{
+	char *why = NULL;
+	int rc = platform_format.read_evacuation(text, strlen(text), "north/1",
+						 &why);
+
+	assert_int_equal(rc != 0, why != NULL);
+	g_free(why);
+	return rc;
+}
+
+/* The spec is free text of an operator; a response of something else than the
+ * object must not count as a request to evacuate. */
+static void evacuation_is_asked_by_its_object_alone(void **state)
+{
+	char *target = platform_format.evacuation_target("north/1");
+
+	(void)state;
+	assert_string_equal(target, "/objects/evacuations/north%2F1");
+	g_free(target);
+	assert_int_equal(read_evacuation("{\"metadata\":{\"name\":\"north/1\","
+					 "\"rev\":3},\"spec\":{\"why\":1}}"),
+			 0);
+	assert_int_equal(
+		read_evacuation("{\"metadata\":{\"name\":\"north/1\"}}"), 0);
+	assert_int_equal(read_evacuation("{\"metadata\":{\"name\":\"south\"}}"),
+			 -1);
+	assert_int_equal(read_evacuation("{\"items\":[]}"), -1);
+	assert_int_equal(read_evacuation("[]"), -1);
+	assert_int_equal(read_evacuation("busy"), -1);
+	assert_int_equal(read_evacuation(""), -1);
+}
+
+static void warmup_rates_are_decoded(void **state)
+{
+	char *why = NULL;
+	struct cgw_table *t = read_text(config, &why);
+
+	(void)state;
+	assert_non_null(t);
+	assert_int_equal(cgw_table_warmup_rate(t, "s1"), 12500);
+	assert_int_equal(cgw_table_warmup_rate(t, "s2"), 0);
+	assert_int_equal(cgw_table_warmup_rate(t, "unknown"), 0);
+	cgw_table_unref(t);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -461,6 +508,8 @@
 		cmocka_unit_test(server_events_without_revision_are_refused),
 		cmocka_unit_test(fleet_entries_survive_a_round_trip),
 		cmocka_unit_test(targets_escape_names),
+		cmocka_unit_test(evacuation_is_asked_by_its_object_alone),
+		cmocka_unit_test(warmup_rates_are_decoded),
 		cmocka_unit_test(mutated_configurations_do_not_crash),
 	};
 
