--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -26,21 +26,7 @@
 		cgw_evacuations_set_reading(f->evacuations, leading);
 }
 
-static cg_ms evacuation_known_until(struct cgw_fleet *f)
-{
-	return f->evacuations ? cgw_evacuation_known_until(
-					cgw_evacuations_state(f->evacuations),
-					cgw_loop_now(f->loop))
-			      : CG_MS_NEVER;
-}
-
-bool cgw_fleet_may_decide(struct cgw_fleet *f)
-{
-	return f->servers_fresh &&
-	       evacuation_known_until(f) >= cgw_loop_now(f->loop);
-}
-
-static void submit_pending(struct cgw_fleet *f)
+void cgw_fleet_submit_pending(struct cgw_fleet *f)
 {
 	GArray *pending = f->pending_requests;
 
@@ -61,18 +47,7 @@
 	if (!f->leading)
 		return;
 	f->servers_fresh = true;
-	submit_pending(f);
-}
-
-void cgw_fleet_handle_evacuation(struct cgw_fleet *f)
-{
-	if (!f->evacuations)
-		return;
-	cgw_broker_set_evacuation(
-		f->broker, cgw_evacuations_state(f->evacuations)->evacuated,
-		evacuation_known_until(f), cgw_loop_now(f->loop));
-	if (f->leading)
-		submit_pending(f);
+	cgw_fleet_submit_pending(f);
 }
 
 static void on_tick(struct cgw_timer *t)
@@ -193,11 +168,6 @@
 	f->handoff = h;
 }
 
-void cgw_fleet_set_evacuations(struct cgw_fleet *f, struct cgw_evacuations *e)
-{
-	f->evacuations = e;
-}
-
 void cgw_fleet_leave(struct cgw_fleet *f)
 {
 	f->leaving = true;
--- a/src/gateway/fleet_internal.h
+++ b/src/gateway/fleet_internal.h
@@ -2,7 +2,8 @@
  * @file fleet_internal.h
  * Declarations shared by the files of the fleet: fleet_members.c (liveness of
  * the daemons and choice of the leader), fleet_heartbeat.c (heartbeats between
- * the brokers of the domains), fleet_slots.c (slot requests and decisions),
+ * the brokers of the domains), fleet_evacuation.c (whether the own domain is
+ * evacuated), fleet_slots.c (slot requests and decisions),
  * fleet_messages.c (datagrams) and fleet.c.
  */
 #ifndef CELERYGLADE_GATEWAY_FLEET_INTERNAL_H
@@ -278,12 +279,20 @@
 /** Timer callback: delivers the own broker's decisions on own requests. */
 void cgw_fleet_deliver_own_decisions(struct cgw_timer *t);
 
+/* fleet_evacuation.c */
+/** Returns whether the own broker may decide: the list of servers has been read
+ * since this daemon leads, and whether the domain is evacuated is known. */
+bool cgw_fleet_may_decide(struct cgw_fleet *f);
+/** Sets what this daemon knows of the evacuation of its domain in a pong. */
+void cgw_fleet_fill_evacuation(struct cgw_fleet *f, fleet_pong *p);
+/** Records what the pong of a daemon of the own domain tells of it. */
+void cgw_fleet_record_evacuation(struct cgw_fleet *f, const fleet_pong *p);
+
 /* fleet.c */
+/** Submits the slot requests that waited, if the own broker may decide. */
+void cgw_fleet_submit_pending(struct cgw_fleet *f);
 /** Starts or ends the work of a leader: only a daemon that leads polls the
  * store and ticks its broker. */
 void cgw_fleet_set_leading(struct cgw_fleet *f, bool leading);
-/** Returns whether the own broker may decide: the list of servers has been read
- * since this daemon leads, and whether the domain is evacuated is known. */
-bool cgw_fleet_may_decide(struct cgw_fleet *f);
 
 #endif
--- a/src/gateway/fleet_members.c
+++ b/src/gateway/fleet_members.c
@@ -262,31 +262,6 @@
 	cgw_fleet_send(f, m->ip, &b);
 }
 
-static void fill_evacuation(struct cgw_fleet *f, fleet_pong *p)
-{
-	const struct cgw_evacuation_state *s =
-		f->evacuations ? cgw_evacuations_state(f->evacuations) : NULL;
-
-	if (!s || s->read_at < 0)
-		return;
-	p->evacuation =
-		s->evacuated ? FLEET_EVACUATION_ASKED : FLEET_EVACUATION_NONE;
-	p->evacuation_age_ms =
-		(u_int)MIN(cgw_loop_now(f->loop) - s->read_at, G_MAXINT);
-}
-
-/* The age is counted from the ping that the pong echoes, like that of a proof. A
- * pong that answers no ping tells nothing. */
-static void record_evacuation(struct cgw_fleet *f, const fleet_pong *p)
-{
-	if (!f->evacuations || !p->echo_ms ||
-	    p->evacuation == FLEET_EVACUATION_UNKNOWN)
-		return;
-	cgw_evacuations_record(f->evacuations,
-			       p->evacuation == FLEET_EVACUATION_ASKED,
-			       (cg_ms)p->echo_ms - p->evacuation_age_ms);
-}
-
 /* @version is the configuration that the receiver has. */
 void cgw_fleet_send_pong(struct cgw_fleet *f, struct in_addr to, uint64_t echo,
 			 uint64_t version)
@@ -310,7 +285,7 @@
 		p->config_source_ip = ntohl(choose_config_source(f).s_addr);
 	p->domain_daemons = f->leading ? cgw_fleet_follower_count(f) + 1
 				       : f->domain_daemons;
-	fill_evacuation(f, p);
+	cgw_fleet_fill_evacuation(f, p);
 	cgw_fleet_send(f, to, &b);
 }
 
@@ -799,7 +774,7 @@
 						      broker->name, broker->ip);
 		return;
 	}
-	record_evacuation(f, p);
+	cgw_fleet_record_evacuation(f, p);
 	if (!strcmp(m->name, f->leader)) {
 		if (p->domain_daemons)
 			f->domain_daemons = p->domain_daemons;
--- a/tests/test_system_evacuation.c
+++ b/tests/test_system_evacuation.c
@@ -103,7 +103,7 @@
 
 static void evacuated_servers_get_nothing_until_the_end(void **state)
 {
-	struct gateway_fleet f;
+	static struct gateway_fleet f; /* used by threads after a failure */
 	cg_ms removed_at;
 	int before;
 
@@ -140,7 +140,7 @@
 /* The new leader cannot ask the store and must use what the former one read. */
 static void new_leader_knows_the_state_while_the_store_is_away(void **state)
 {
-	struct gateway_fleet f;
+	static struct gateway_fleet f; /* used by threads after a failure */
 	int before;
 
 	(void)state;
@@ -160,7 +160,7 @@
 /* A suspended leader missed the evacuation. */
 static void resumed_leader_does_not_use_evacuated_servers(void **state)
 {
-	struct gateway_fleet f;
+	static struct gateway_fleet f; /* used by threads after a failure */
 	int before;
 
 	(void)state;
--- a/tests/test_warmup.c
+++ b/tests/test_warmup.c
@@ -194,14 +194,24 @@
 static void warm_servers_come_first(void **state)
 {
 	struct broker_fixture w;
-	GArray *grants = g_array_new(FALSE, FALSE, sizeof(cg_ms));
+	unsigned int cold = 0;
 
 	(void)state;
 	setup(&w, 3, 20);
 	set_cold(&w, 1, 60000);
-	assert_int_equal(load(&w, "s2", 2000, CGW_RESULT_SERVED, false, grants),
-			 0);
-	g_array_unref(grants);
+	w.now += 1000;
+	/* All 200 slots of the warm servers are used before the cold one. */
+	for (int i = 0; i < 202; i++) {
+		struct cgw_slot_request r =
+			broker_fixture_new_request(&w, "svc", true);
+		const struct cgw_slot_decision *d =
+			broker_fixture_submit(&w, &r);
+
+		assert_non_null(d);
+		assert_int_equal(d->kind, CGW_DECISION_GRANTED);
+		cold += !strcmp(d->u.grant.server, "s2");
+		assert_int_equal(cold, i < 200 ? 0 : i - 199);
+	}
 	broker_fixture_clear(&w);
 }
 
