--- a/include/celeryglade/counters.h
+++ b/include/celeryglade/counters.h
@@ -57,6 +57,9 @@
 	X(ADMISSION_STARVED, "admission_starved_first")                        \
 	X(BUDGET_DEFERRED, "retry_budget_deferred")                            \
 	X(BUDGET_REFUSED, "retry_budget_refused")                              \
+	X(EVACUATION_READS, "evacuation_reads")                                \
+	X(EVACUATION_REDIRECTS, "evacuation_redirects")                        \
+	X(WARMUP_WITHHELD, "warmup_withheld")                                  \
 	X(DRAIN_NOTICES, "drain_notices")                                      \
 	X(REVOCATION_NOTICES, "revocation_notices")                            \
 	X(WORK_SAMPLES, "work_samples")                                        \
--- a/src/gateway/broker_internal.h
+++ b/src/gateway/broker_internal.h
@@ -13,6 +13,7 @@
 #include "broker_floor.h"
 #include "gateway/broker.h"
 #include "gateway/work_model.h"
+#include "warmup.h"
 
 /** Latency of the served requests of a route. */
 struct cgw_route_latency {
@@ -33,6 +34,9 @@
 	GArray *retries; /**< cg_ms of each in the retry window. */
 	GHashTable *domain_reports; /**< domain to struct cgw_domain_report */
 	int64_t fleet_servers; /**< Of all domains, without leaving ones. */
+	GHashTable *domain_servers; /**< The same by domain, as integers. */
+	int64_t warmup_milli; /**< Requests of a cold server; 0: no limit. */
+	struct cgw_warmup_limit warmup; /**< From this and the settings. */
 	struct cgw_failure_model failures;
 	struct cgw_work_speed speed;
 	struct cgw_outcome_window outcomes; /**< Of this domain's requests. */
@@ -83,6 +87,8 @@
 	cg_ms rest_until; /**< It wants no requests until then. */
 	cg_ms warmup_until;
 	struct cgw_work_speed speed;
+	cg_ms assumed_cold_until; /**< After an evacuation. */
+	struct cgw_warmup warmup;
 	cg_ms last_granted_at;
 	bool listed; /**< Found in the list that is being applied. */
 };
@@ -147,6 +153,12 @@
 	uint64_t ejections;
 	/** Of the domain's rates and retry budget. */
 	double share;
+	bool evacuated; /**< This domain. */
+	/** Until then the state above may be relied on. */
+	cg_ms evacuation_known_until;
+	/** Other domains that report an evacuation, to the time of the last
+	 * report (cg_ms). */
+	GHashTable *evacuated_domains;
 };
 
 /* broker.c */
@@ -173,6 +185,10 @@
 			   cg_ms elapsed, cg_ms now);
 /** Counts the slots of healthy servers, free or not. */
 int64_t cgw_service_healthy_slots(struct cgw_service *s, cg_ms now);
+/** Redirects a request to the domain with the most free slots. Returns whether
+ * it did. */
+bool cgw_broker_redirect(struct cgw_broker *b, struct cgw_service *s,
+			 const struct cgw_slot_request *request, cg_ms now);
 /** Grants a slot or redirects the request. Returns whether it did either. */
 bool cgw_broker_grant_or_redirect(struct cgw_broker *b, struct cgw_service *s,
 				  const struct cgw_slot_request *request,
@@ -259,6 +275,31 @@
  * their deadline. */
 void cgw_broker_retry_deferred(struct cgw_broker *b, struct cgw_service *s,
 			       cg_ms now);
+/* broker_evacuation.c */
+/** Returns whether no slot may be granted: the domain is evacuated, or whether
+ * it is has not been known recently. */
+bool cgw_broker_is_closed(const struct cgw_broker *b, cg_ms now);
+/** Returns whether another domain's broker has recently reported that its domain
+ * is evacuated. */
+bool cgw_broker_other_is_evacuated(const struct cgw_broker *b,
+				   const char *domain, cg_ms now);
+/** Returns the number of the service's servers in all domains that are not
+ * evacuated. */
+int64_t cgw_service_floor_servers(const struct cgw_broker *b,
+				  const struct cgw_service *s, cg_ms now);
+/** In an evacuated domain, redirects waiting requests that other domains have
+ * refused before. */
+void cgw_broker_redirect_waiting(struct cgw_broker *b, struct cgw_service *s,
+				 cg_ms now);
+
+/* broker_warmup.c */
+/** Returns whether a server is cold and the number of its requests limited. */
+bool cgw_server_is_limited(const struct cgw_server *s, cg_ms now);
+/** Returns how many requests the server may get by its warm-up. */
+int64_t cgw_server_warmup_room(const struct cgw_server *s, cg_ms now);
+/** Counts if the service has a cold server with a free slot that must not get
+ * the request now. */
+void cgw_service_count_withheld(const struct cgw_service *s, cg_ms now);
 
 /* broker_trust.c */
 /** Returns the present trust of a server. Ends an ejection that is over. */
--- a/src/gateway/fleet_members.c
+++ b/src/gateway/fleet_members.c
@@ -285,6 +285,7 @@
 		p->config_source_ip = ntohl(choose_config_source(f).s_addr);
 	p->domain_daemons = f->leading ? cgw_fleet_follower_count(f) + 1
 				       : f->domain_daemons;
+	cgw_fleet_fill_evacuation(f, p);
 	cgw_fleet_send(f, to, &b);
 }
 
@@ -773,6 +774,7 @@
 						      broker->name, broker->ip);
 		return;
 	}
+	cgw_fleet_record_evacuation(f, p);
 	if (!strcmp(m->name, f->leader)) {
 		if (p->domain_daemons)
 			f->domain_daemons = p->domain_daemons;
