Grant nothing by a list of servers from before the broker leads

Cause: a daemon that leads again keeps requests that waited when it led before, and its tick granted them by the list of that time, though new requests wait until the list has been read. Change: the broker is closed until the list has been read.

--- a/include/gateway/broker.h
+++ b/include/gateway/broker.h
@@ -167,6 +167,10 @@
  * domains; requests in flight are not affected. */
 void cgw_broker_set_evacuation(struct cgw_broker *b, bool evacuated,
 			       cg_ms known_until, cg_ms now);
+/** Sets whether the list of servers is from before this broker leads. Until it has
+ * been read again no slot is granted, also to requests that wait here since this
+ * broker led before: servers may have left meanwhile. */
+void cgw_broker_set_servers_outdated(struct cgw_broker *b, bool outdated);
 /** Returns whether the own domain is evacuated. */
 bool cgw_broker_is_evacuated(const struct cgw_broker *b);
 /** Records whether another domain's broker reports that its domain is
--- a/src/gateway/broker_evacuation.c
+++ b/src/gateway/broker_evacuation.c
@@ -19,7 +19,13 @@
 
 bool cgw_broker_is_closed(const struct cgw_broker *b, cg_ms now)
 {
-	return b->evacuated || now > b->evacuation_known_until;
+	return b->servers_outdated || b->evacuated ||
+	       now > b->evacuation_known_until;
+}
+
+void cgw_broker_set_servers_outdated(struct cgw_broker *b, bool outdated)
+{
+	b->servers_outdated = outdated;
 }
 
 bool cgw_broker_is_evacuated(const struct cgw_broker *b)
--- a/src/gateway/broker_internal.h
+++ b/src/gateway/broker_internal.h
@@ -156,6 +156,7 @@
 	bool evacuated; /**< This domain. */
 	/** Until then the state above may be relied on. */
 	cg_ms evacuation_known_until;
+	bool servers_outdated; /**< The list may name some that have left. */
 	/** Other domains that report an evacuation, to the time of the last
 	 * report (cg_ms). */
 	GHashTable *evacuated_domains;
--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -16,6 +16,7 @@
 		return;
 	f->leading = leading;
 	f->servers_fresh = false;
+	cgw_broker_set_servers_outdated(f->broker, true);
 	if (leading)
 		cgw_quota_begin_to_lead(cgw_broker_quota(f->broker),
 					cgw_loop_now(f->loop));
@@ -47,6 +48,7 @@
 	if (!f->leading)
 		return;
 	f->servers_fresh = true;
+	cgw_broker_set_servers_outdated(f->broker, false);
 	cgw_fleet_submit_pending(f);
 }
 
--- a/tests/test_gateway_broker.c
+++ b/tests/test_gateway_broker.c
@@ -781,6 +781,31 @@
 	broker_fixture_clear(&w);
 }
 
+/* A daemon leads again while a request of its former time as leader still waits.
+ * Regression: a tick granted it a server of the old list, which had left: a request
+ * reached it 2,705 ms after it had said so. */
+static void outdated_list_grants_nothing(void **state)
+{
+	struct broker_fixture w;
+	struct cgw_slot_request a, b;
+
+	(void)state;
+	broker_fixture_init(&w, 1);
+	broker_fixture_add_server(&w, "s1", "svc", 1);
+	a = broker_fixture_new_request(&w, "svc", true);
+	broker_fixture_submit(&w, &a);
+	b = broker_fixture_new_request(&w, "svc", true);
+	assert_null(broker_fixture_submit(&w, &b));
+	cgw_broker_set_servers_outdated(w.broker, true);
+	broker_fixture_release(&w, a.id, CGW_RESULT_SERVED, 10);
+	broker_fixture_advance(&w, 200);
+	assert_null(broker_fixture_decision(&w, b.id));
+	cgw_broker_set_servers_outdated(w.broker, false);
+	broker_fixture_advance(&w, 100);
+	assert_non_null(broker_fixture_decision(&w, b.id));
+	broker_fixture_clear(&w);
+}
+
 static void excess_requests_are_refused_with_retry_after(void **state)
 {
 	struct broker_fixture w;
@@ -999,6 +1024,7 @@
 		cmocka_unit_test(held_slot_ends_the_wait_of_its_request),
 		cmocka_unit_test(slots_of_a_lost_daemon_are_released),
 		cmocka_unit_test(excess_requests_are_refused_with_retry_after),
+		cmocka_unit_test(outdated_list_grants_nothing),
 		cmocka_unit_test(requests_wait_for_tokens_after_takeover),
 		cmocka_unit_test(request_that_waits_for_a_token_is_not_charged),
 		cmocka_unit_test(refused_requests_use_no_token),
