Explain where a request would go without sending it

Cause: operators could not see why a request goes where it goes. Change: gateways answer GET /explain at the metrics address by the code that places requests (cgw_broker_explain()); celerygladectl explain asks them, follows a gateway that does not lead to its broker, and prints a table or JSON.

--- a/include/gateway/fleet.h
+++ b/include/gateway/fleet.h
@@ -7,6 +7,7 @@
 #ifndef CELERYGLADE_GATEWAY_FLEET_H
 #define CELERYGLADE_GATEWAY_FLEET_H
 
+#include <netinet/in.h>
 #include <urcu/list.h>
 
 #include "gateway/broker.h"
@@ -96,5 +97,9 @@
 /** Returns the name of the daemon that is followed, or ""; owned by the
  * fleet, valid until the leader changes. */
 const char *cgw_fleet_leader(struct cgw_fleet *f);
+/** Returns the name of the daemon that is followed and writes its IP address to
+ * @p ip, or returns "" if it is this daemon or none. */
+const char *cgw_fleet_other_leader(struct cgw_fleet *f,
+				   char ip[INET_ADDRSTRLEN]);
 
 #endif
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -37,6 +37,12 @@
 	const char *service;
 	const char *out_file;
 	const char *key_name;
+	/** Of explain: metrics address of a gateway, and the request. */
+	const char *gateway;
+	const char *host;
+	const char *method;
+	const char *account;
+	const char *size; /**< Of the body, in bytes. */
 	bool json;
 	int wait_s; /**< Maximum wait of apply; -1: do not wait. */
 	int timeout_ms; /**< For each call of a daemon. */
@@ -158,6 +164,7 @@
 enum ctl_exit ctl_explain_account(const struct ctl_options *o);
 enum ctl_exit ctl_explain_change(const struct ctl_options *o);
 enum ctl_exit ctl_counters(const struct ctl_options *o);
+enum ctl_exit ctl_explain(const struct ctl_options *o);
 enum ctl_exit ctl_drain(const struct ctl_options *o);
 enum ctl_exit ctl_revoke(const struct ctl_options *o);
 enum ctl_exit ctl_key_new(const struct ctl_options *o);
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -24,6 +24,11 @@
 	OPTION_JSON,
 	OPTION_WAIT,
 	OPTION_TIMEOUT,
+	OPTION_GATEWAY,
+	OPTION_HOST,
+	OPTION_METHOD,
+	OPTION_ACCOUNT,
+	OPTION_SIZE,
 };
 
 #define OPT_STORE                                                              \
@@ -76,6 +81,31 @@
 	  .doc = "Only the servers of this service" },
 	{ 0 },
 };
+static const struct argp_option explain_options[] = {
+	{ .name = "gateway",
+	  .key = OPTION_GATEWAY,
+	  .arg = "IP:PORT",
+	  .doc = "Metrics address of a gateway of the callers' failure domain" },
+	{ .name = "host",
+	  .key = OPTION_HOST,
+	  .arg = "NAME",
+	  .doc = "Host of the request" },
+	{ .name = "method",
+	  .key = OPTION_METHOD,
+	  .arg = "NAME",
+	  .doc = "Method of the request (default GET)" },
+	{ .name = "account",
+	  .key = OPTION_ACCOUNT,
+	  .arg = "NAME",
+	  .doc = "Client account of the request" },
+	{ .name = "size",
+	  .key = OPTION_SIZE,
+	  .arg = "BYTES",
+	  .doc = "Length of the request's body (default 0)" },
+	OPT_TIMEOUT,
+	OPT_JSON,
+	{ 0 },
+};
 static const struct argp_option key_new_options[] = {
 	{ .name = "out",
 	  .key = OPTION_OUT,
@@ -122,6 +152,9 @@
 	{ "servers", NULL,
 	  "List the backend servers, which are ejected, and why.",
 	  servers_options, ctl_servers },
+	{ "explain", "PATH",
+	  "Show where a request would go now, and why, without sending it.",
+	  explain_options, ctl_explain },
 	{ "explain-server", "NAME",
 	  "Show the state of a backend server at each daemon.", fleet_options,
 	  ctl_explain_server },
@@ -190,6 +223,22 @@
 	case OPTION_SERVICE:
 		o->service = arg;
 		return 0;
+	case OPTION_GATEWAY:
+		o->gateway = arg;
+		return 0;
+	case OPTION_HOST:
+		o->host = arg;
+		return 0;
+	case OPTION_METHOD:
+		o->method = arg;
+		return 0;
+	case OPTION_ACCOUNT:
+		o->account = arg;
+		return 0;
+	case OPTION_SIZE:
+		parse_number(state, arg, G_MAXINT);
+		o->size = arg;
+		return 0;
 	case OPTION_OUT:
 		o->out_file = arg;
 		return 0;
--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -186,6 +186,18 @@
 	return *f->leader != '\0';
 }
 
+const char *cgw_fleet_other_leader(struct cgw_fleet *f,
+				   char ip[INET_ADDRSTRLEN])
+{
+	const struct cgw_member *m = cgw_fleet_member(f, f->leader);
+
+	*ip = '\0';
+	if (!m)
+		return "";
+	inet_ntop(AF_INET, &m->ip, ip, INET_ADDRSTRLEN);
+	return m->name;
+}
+
 const char *cgw_fleet_leader(struct cgw_fleet *f)
 {
 	return f->leader;
--- a/src/gateway/ingress.c
+++ b/src/gateway/ingress.c
@@ -12,6 +12,7 @@
 
 #include "celeryglade/counters.h"
 #include "gateway/decision_log.h"
+#include "explain_serve.h"
 #include "http_server.h"
 #include "internal/address.h"
 #include "internal/http_text.h"
@@ -505,16 +506,18 @@
 {
 	struct cgw_ingress *in = cls;
 	struct cgw_gateway *g = in->gateway;
-	GString *s = g_string_new(NULL);
+	GString *s;
 	struct cgw_table *t = cgw_feed_table(g->feed);
 	enum MHD_Result rc;
 
-	(void)url;
 	(void)method;
 	(void)version;
 	(void)data;
 	(void)data_size;
 	(void)state;
+	if (!strcmp(url, "/explain"))
+		return cgw_explain_respond(g, mhd);
+	s = g_string_new(NULL);
 	for (int i = 0; i < CG_COUNTER_COUNT; i++)
 		if (cg_counter_read((enum cg_counter)i))
 			add_metric(s, cg_counter_name((enum cg_counter)i),
