Add a budget for the memory that callers use

Cause: bodies have a limit each and none together; 60 callers with 4 MiB each take a gateway to 249 MB. Change: the decision module memory_budget, used by neither program yet, with the settings memory_max_mb, body_stall_ms and response_stall_ms of the gateway.

--- a/include/celeryglade/counters.h
+++ b/include/celeryglade/counters.h
@@ -51,7 +51,10 @@
 	X(SERVERS_WANTED_REST, "servers_wanted_rest")                          \
 	X(RETRY_AFTER_IGNORED, "retry_after_ignored")                          \
 	X(DRAIN_NOTICES, "drain_notices")                                      \
-	X(REVOCATION_NOTICES, "revocation_notices")
+	X(REVOCATION_NOTICES, "revocation_notices")                            \
+	X(BODIES_EVICTED, "bodies_evicted")                                    \
+	X(BODIES_STALLED, "bodies_stalled")                                    \
+	X(RESPONSES_STALLED, "responses_stalled")
 
 /** The counters of CG_COUNTERS, then one for each reason of a refusal, then one
  * for each retry reason. */
--- a/include/gateway/gateway_settings.h
+++ b/include/gateway/gateway_settings.h
@@ -49,6 +49,13 @@
 	 * bytes. Each connection has memory for both. */
 	int64_t request_head_max_bytes;
 	int64_t response_head_max_bytes;
+	/** Memory of the process in MiB. */
+	int64_t memory_max_mb;
+	/** Time without a byte after which a request body, or a response that
+	 * its caller does not read, is ended; 0: the idle timeout of the
+	 * configuration. */
+	cg_ms body_stall_ms;
+	cg_ms response_stall_ms;
 	double min_share; /**< Share of a service's servers never ejected. */
 	cg_ms grace_ms; /**< Time from SIGTERM to SIGKILL. */
 	char *log_level;
--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "celeryglade/memory_budget.h"
+
 #define CPU_SHARE_MAX	 1024
 #define LINK_MBPS_MAX	 1000000
 #define HEAD_LEAST_BYTES 4096
@@ -37,6 +39,9 @@
 	"responses_max_bytes",
 	"request_head_max_bytes",
 	"response_head_max_bytes",
+	"memory_max_mb",
+	"body_stall_ms",
+	"response_stall_ms",
 	NULL,
 };
 
@@ -142,6 +147,12 @@
 			 HEAD_MOST_BYTES, &s->request_head_max_bytes, f);
 	rc |= get_number(o, "response_head_max_bytes", HEAD_LEAST_BYTES,
 			 HEAD_MOST_BYTES, &s->response_head_max_bytes, f);
+	rc |= get_number(o, "memory_max_mb", CG_MEMORY_MAX_MB_LOWEST,
+			 CG_MEMORY_MAX_MB_HIGHEST, &s->memory_max_mb, f);
+	rc |= get_number(o, "body_stall_ms", 1000, 3600000, &s->body_stall_ms,
+			 f);
+	rc |= get_number(o, "response_stall_ms", 1000, 3600000,
+			 &s->response_stall_ms, f);
 	rc |= get_fraction(o, "cpu_share", CPU_SHARE_MAX, &s->cpu_share, f);
 	rc |= get_fraction(o, "link_mbps", LINK_MBPS_MAX, &s->link_mbps, f);
 	return rc || f->n ? -1 : 0;
@@ -170,6 +181,7 @@
 	s->request_head_max_bytes = 40 * 1024;
 	s->response_head_max_bytes = 23 * 1024;
 	s->grace_ms = 6000;
+	s->memory_max_mb = CG_MEMORY_MAX_MB_DEFAULT;
 	if (cg_json_read_file(path, &o, f))
 		return -1;
 	if (json_object_is_type(o, json_type_object))
