--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -1,9 +1,8 @@
 #define CG_PART "upstream"
-#include "gateway/upstream.h"
+#include "upstream_private.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
-#include <http_parser.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
@@ -14,13 +13,6 @@
 #include "internal/address.h"
 #include "internal/logging.h"
 
-/* Idle connections kept for an address. A daemon rarely has more concurrent
- * calls to one address. */
-#define MAX_IDLE_PER_ADDRESS 4
-/* Idle connections are closed after this time, before the backend servers close
- * them after 10 s. */
-#define IDLE_LIMIT_MS 8000
-#define SWEEP_MS      1000
 /* A connection is closed this long before the timeout that the server announced
  * in its Keep-Alive header. */
 #define KEEP_ALIVE_MARGIN_MS 1500
@@ -30,155 +22,20 @@
 #define TOTAL_BYTES_DEFAULT    ((int64_t)48 * 1024 * 1024)
 /* Interim responses, and responses to other requests, before the own one. */
 #define INTERIM_MAX 8
-/* Requests after which a connection may carry the same id again. A copy of a
- * response arrives soon after it, if at all. */
-#define RECENT_IDS 8
-/* After a response without an id, connections to its server are not reused for
- * this time: on a new connection such a response is known to be the own one. */
-#define UNIDENTIFIED_MS 30000
 #define READ_SIZE	16384
 /* Status codes that HTTP defines the meaning of. */
 #define STATUS_MIN    100
 #define STATUS_MAX    599
 #define STATUS_DIGITS 3
 
-struct cgw_conn {
-	struct cgw_io io;
-	struct cgw_upstream *client;
-	struct cgw_call *call; /* NULL while the connection is idle */
-	struct cds_list_head node; /* in the idle list of its address */
-	char address[64];
-	http_parser parser;
-	GString *name;
-	GString *value;
-	bool in_value;
-	bool connected;
-	bool head_complete; /* what follows are trailer fields */
-	bool complete; /* a whole response has been parsed */
-	bool response_started; /* at least one byte has been received */
-	bool no_reuse;
-	enum {
-		STATUS_BEFORE, /* in the protocol version */
-		STATUS_WITHIN,
-		STATUS_READ
-	} status_state;
-	unsigned int status_digits; /* of the present response */
-	size_t out_pos;
-	int64_t buffered; /* bytes of the present body */
-	cg_ms last_used;
-	cg_ms keep_alive_ms; /* from the Keep-Alive header; 0: none */
-	guint recent_ids[RECENT_IDS]; /* hashes of the ids sent last */
-	unsigned int ids_sent;
-};
-
-struct idle_list {
-	struct cds_list_head head;
-	unsigned int n;
-};
-
-struct cgw_upstream {
-	struct cgw_loop *loop;
-	GHashTable *idle; /* address to struct idle_list */
-	/* Address to the time until which connections are not reused. */
-	GHashTable *unidentified;
-	struct cgw_timer sweep;
-	uint64_t opened;
-	int64_t response_max, total_max; /* bytes */
-	int64_t buffered; /* bytes of the bodies that are being read */
-};
-
 static char read_buffer[READ_SIZE];
 
-static void conn_free(struct cgw_conn *c)
-{
-	if (c->io.fd >= 0) {
-		cgw_loop_del(c->client->loop, &c->io);
-		close(c->io.fd);
-	}
-	g_string_free(c->name, TRUE);
-	g_string_free(c->value, TRUE);
-	g_free(c);
-}
-
-static struct idle_list *idle_of(struct cgw_upstream *u, const char *address)
-{
-	struct idle_list *l = g_hash_table_lookup(u->idle, address);
-
-	if (l)
-		return l;
-	l = g_new0(struct idle_list, 1);
-	CDS_INIT_LIST_HEAD(&l->head);
-	g_hash_table_insert(u->idle, g_strdup(address), l);
-	return l;
-}
-
-static void idle_remove(struct cgw_conn *c)
-{
-	cds_list_del(&c->node);
-	idle_of(c->client, c->address)->n--;
-}
-
-static void close_idle_list(struct idle_list *l)
-{
-	struct cgw_conn *c, *next;
-
-	cds_list_for_each_entry_safe(c, next, &l->head, node) {
-		cds_list_del(&c->node);
-		conn_free(c);
-	}
-	l->n = 0;
-}
-
-static cg_ms idle_limit_ms(const struct cgw_conn *c)
-{
-	return c->keep_alive_ms > 0 && c->keep_alive_ms < IDLE_LIMIT_MS
-		       ? c->keep_alive_ms
-		       : IDLE_LIMIT_MS;
-}
-
-static void sweep(struct cgw_timer *t)
-{
-	struct cgw_upstream *u =
-		caa_container_of(t, struct cgw_upstream, sweep);
-	cg_ms now = cgw_loop_now(u->loop);
-	GHashTableIter it;
-	gpointer value;
-
-	g_hash_table_iter_init(&it, u->idle);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		struct idle_list *l = value;
-		struct cgw_conn *c, *next;
-
-		cds_list_for_each_entry_safe(c, next, &l->head, node) {
-			if (now - c->last_used < idle_limit_ms(c))
-				continue;
-			cds_list_del(&c->node);
-			l->n--;
-			conn_free(c);
-		}
-		if (!l->n)
-			g_hash_table_iter_remove(&it);
-	}
-	if (g_hash_table_size(u->idle))
-		cgw_timer_arm(u->loop, t, now + SWEEP_MS);
-}
-
-static void free_idle_list(void *p)
-{
-	close_idle_list(p);
-	g_free(p);
-}
-
 struct cgw_upstream *cgw_upstream_new(struct cgw_loop *l)
 {
 	struct cgw_upstream *u = g_new0(struct cgw_upstream, 1);
 
 	u->loop = l;
-	u->idle = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					free_idle_list);
-	u->unidentified =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	u->sweep.fire = sweep;
+	cgw_pool_init(u);
 	u->response_max = RESPONSE_BYTES_DEFAULT;
 	u->total_max = TOTAL_BYTES_DEFAULT;
 	return u;
@@ -195,17 +52,10 @@
 {
 	if (!u)
 		return;
-	cgw_timer_cancel(u->loop, &u->sweep);
-	g_hash_table_unref(u->idle);
-	g_hash_table_unref(u->unidentified);
+	cgw_pool_clear(u);
 	g_free(u);
 }
 
-void cgw_upstream_close_idle(struct cgw_upstream *u, const char *address)
-{
-	g_hash_table_remove(u->idle, address);
-}
-
 uint64_t cgw_upstream_connections_opened(const struct cgw_upstream *u)
 {
 	return u->opened;
@@ -246,25 +96,16 @@
 static void release_conn(struct cgw_call *call, bool keep)
 {
 	struct cgw_conn *c = call->conn;
-	struct idle_list *l;
 
 	call->conn = NULL;
 	if (!c)
 		return;
 	forget_body(c);
 	c->call = NULL;
-	if (!keep || c->no_reuse ||
-	    (l = idle_of(c->client, c->address))->n >= MAX_IDLE_PER_ADDRESS) {
-		conn_free(c);
-		return;
-	}
-	c->last_used = cgw_loop_now(c->client->loop);
-	cds_list_add(&c->node, &l->head);
-	l->n++;
-	cgw_loop_change(c->client->loop, &c->io, EPOLLIN | EPOLLRDHUP);
-	if (!c->client->sweep.heap_index)
-		cgw_timer_arm(c->client->loop, &c->client->sweep,
-			      c->last_used + SWEEP_MS);
+	if (keep)
+		cgw_pool_put(c);
+	else
+		cgw_conn_free(c);
 }
 
 static void finish_call(struct cgw_call *call, enum cgw_call_outcome outcome,
@@ -417,53 +258,11 @@
 	return status >= 300 && !call->reused;
 }
 
-/* Returns whether @call's id was recently sent on the connection: a copy of that
- * response could not be told from the response to @call. */
-static bool has_sent_id(const struct cgw_conn *c, const struct cgw_call *call)
-{
-	guint hash;
-
-	if (!call->id_header)
-		return false;
-	hash = g_str_hash(call->id);
-	for (unsigned int i = 0; i < MIN(c->ids_sent, RECENT_IDS); i++)
-		if (c->recent_ids[i] == hash)
-			return true;
-	return false;
-}
-
-static void record_id(struct cgw_conn *c, const struct cgw_call *call)
-{
-	if (call->id_header)
-		c->recent_ids[c->ids_sent++ % RECENT_IDS] =
-			g_str_hash(call->id);
-}
-
 static bool is_unidentified(const struct cgw_call *call)
 {
 	return call->id_header && !cgw_call_header(call, call->id_header);
 }
 
-static void record_unidentified(struct cgw_conn *c)
-{
-	cg_ms until = cgw_loop_now(c->client->loop) + UNIDENTIFIED_MS;
-
-	g_hash_table_replace(c->client->unidentified, g_strdup(c->address),
-			     g_memdup2(&until, sizeof(until)));
-}
-
-/* Returns whether responses from @address may come without an id. */
-static bool omits_ids(struct cgw_upstream *u, const char *address)
-{
-	const cg_ms *until = g_hash_table_lookup(u->unidentified, address);
-
-	if (until && *until > cgw_loop_now(u->loop))
-		return true;
-	if (until)
-		g_hash_table_remove(u->unidentified, address);
-	return false;
-}
-
 /* An error without an id on a reused connection is a copy or the server's only
  * response. Waits for the own response for a limited time. */
 static void limit_wait(struct cgw_conn *c)
@@ -472,7 +271,7 @@
 	cg_ms until =
 		cgw_loop_now(c->client->loop) + call->unidentified_wait_ms;
 
-	record_unidentified(c);
+	cgw_pool_record_unidentified(c);
 	if (until < call->timer.expires_at)
 		cgw_timer_arm(c->client->loop, &call->timer, until);
 }
@@ -555,7 +354,7 @@
 			/* A copy of it would have no id either. */
 			if (is_unidentified(call)) {
 				c->no_reuse = true;
-				record_unidentified(c);
+				cgw_pool_record_unidentified(c);
 			}
 			update_keep_alive(c);
 			finish_call(call, CGW_CALL_RESPONDED, data != NULL);
@@ -655,8 +454,8 @@
 		/* Data received on an idle connection belongs to no later
 		 * request, so the connection is closed, as after a
 		 * disconnect. */
-		idle_remove(c);
-		conn_free(c);
+		cgw_pool_remove(c);
+		cgw_conn_free(c);
 		return;
 	}
 	if (!c->connected) {
@@ -717,37 +516,6 @@
 	return -1;
 }
 
-static bool has_no_input(const struct cgw_conn *c)
-{
-	char byte;
-
-	return recv(c->io.fd, &byte, 1, MSG_PEEK) < 0 && errno == EAGAIN;
-}
-
-/* Removes and returns the most recently used idle connection, which is the
- * least likely to be dead. Returns NULL if none can be reused. */
-static struct cgw_conn *pop_idle(struct cgw_upstream *u,
-				 const struct cgw_call *call)
-{
-	struct idle_list *l = g_hash_table_lookup(u->idle, call->address);
-	cg_ms now = cgw_loop_now(u->loop);
-	struct cgw_conn *c, *next;
-
-	if (!l || (call->id_header && omits_ids(u, call->address)))
-		return NULL;
-	cds_list_for_each_entry_safe(c, next, &l->head, node) {
-		if (now - c->last_used >= MIN(call->reuse_ms, idle_limit_ms(c)))
-			return NULL;
-		if (has_sent_id(c, call))
-			continue;
-		idle_remove(c);
-		if (has_no_input(c))
-			return c;
-		conn_free(c);
-	}
-	return NULL;
-}
-
 void cgw_call_start(struct cgw_upstream *u, struct cgw_call *call)
 {
 	cg_ms now = cgw_loop_now(u->loop);
@@ -757,7 +525,7 @@
 	call->timer.fire = on_timer;
 	call->sent = false;
 	call->interim = 0;
-	c = pop_idle(u, call);
+	c = cgw_pool_take(u, call);
 	call->reused = c != NULL;
 	if (!c) {
 		c = g_new0(struct cgw_conn, 1);
@@ -771,14 +539,14 @@
 		if (open_socket(c)) {
 			cg_warning("cannot connect to %s: %s", call->address,
 				   g_strerror(errno));
-			conn_free(c);
+			cgw_conn_free(c);
 			cgw_timer_arm(u->loop, &call->timer, now);
 			return;
 		}
 	}
 	c->call = call;
 	call->conn = c;
-	record_id(c, call);
+	cgw_pool_record_id(c, call);
 	c->out_pos = 0;
 	c->response_started = false;
 	reset_response(c);
