Count callers' bodies in the gateway against one budget

Cause: nothing limited the sum of the bodies that callers send, and a body was read before its route and key were checked, copied for each attempt and kept until the caller had read its response. Change: what the head determines is answered before the body is read; a body reserves its length, is sent from its only copy and evicted when it makes no progress while others need the room; responses count until they are sent. glibc's mmap threshold is fixed. exchange.c and ingress.c are split (attempt.c, exchange_body.c, request_head.c, ingress_status.c).

--- a/include/celeryglade/memory_budget.h
+++ b/include/celeryglade/memory_budget.h
@@ -33,7 +33,8 @@
 
 /** A body, embedded in its owner, which zeroes it before the first use. */
 struct cg_memory_item {
-	struct cds_list_head node; /**< By progress, longest without it first. */
+	struct cds_list_head
+		node; /**< By progress, longest without it first. */
 	struct cg_memory_budget *budget; /**< NULL: holds nothing. */
 	int64_t bytes;
 	int64_t moved; /**< Bytes since the progress that counted last. */
--- a/include/gateway/exchange.h
+++ b/include/gateway/exchange.h
@@ -40,11 +40,17 @@
 	char *id;
 	char *bearer;
 	GPtrArray *headers; /**< Headers to forward: name, value, ... */
+	size_t head_bytes; /**< Memory that a copy of the head takes. */
+	bool has_body;
+	int64_t content_length; /**< 0: none, or not known before its end. */
 	GByteArray *body;
+	int64_t received; /**< Bytes of the body, kept or not. */
+	struct cg_memory_item memory; /**< Of head and body. */
 	cg_ms caller_timeout_ms; /**< How long the caller waits; 0: unknown. */
 	bool malformed;
 	bool too_large; /**< The body. */
 	bool head_too_large;
+	bool no_room; /**< The body was not kept for lack of memory. */
 
 	/** Called once, when the response is complete. Called from within
 	 * cgw_exchange_start() if the request did not have to wait. */
@@ -54,6 +60,8 @@
 	int status;
 	GPtrArray *response_headers; /**< Name, value, ...; owned. */
 	GByteArray *response_body; /**< Owned. */
+	/** Of the response's body; NULL: not counted. */
+	struct cg_memory_item *response_memory;
 	enum cg_reason reason; /**< CG_OK if a server responded. */
 	bool done;
 
@@ -80,6 +88,18 @@
 				      const char *target);
 /** Frees an exchange; cancels its running attempts. */
 void cgw_exchange_free(struct cgw_exchange *x);
+/** Decides what the head of a request with a body determines. Returns false if
+ * the request has been refused: the response is complete. */
+bool cgw_exchange_check_head(struct cgw_exchange *x, cg_ms arrived_at);
+/** Reserves memory for head and body if that has not happened. Returns false if
+ * there is none, or the body has been evicted. */
+bool cgw_exchange_reserve(struct cgw_exchange *x);
+/** Adds to the body, of at most @p max bytes. A body that is too long or finds
+ * no room is dropped, and the request refused when it is started. */
+void cgw_exchange_append_body(struct cgw_exchange *x, const char *data,
+			      size_t len, int64_t max);
+/** Frees the body of the request. */
+void cgw_exchange_drop_body(struct cgw_exchange *x);
 /** Starts a request that has been read completely. Its timeouts count from
  * @p arrived_at. */
 void cgw_exchange_start(struct cgw_exchange *x, cg_ms arrived_at);
--- a/include/gateway/gateway.h
+++ b/include/gateway/gateway.h
@@ -18,6 +18,7 @@
 	const struct cgw_store_format *format;
 	struct cg_clock clk;
 	struct cgw_loop *loop;
+	struct cg_memory_budget memory; /**< For what callers make us hold. */
 	struct cgw_upstream *client;
 	struct cgw_feed *feed;
 	struct cgw_fleet *fleet;
--- a/include/gateway/upstream.h
+++ b/include/gateway/upstream.h
@@ -10,6 +10,7 @@
 #include <glib.h>
 #include <urcu/list.h>
 
+#include "celeryglade/memory_budget.h"
 #include "gateway/loop.h"
 
 enum cgw_call_outcome {
@@ -20,6 +21,7 @@
 	/** Not a valid HTTP response, too long, or after too many others. */
 	CGW_CALL_MALFORMED,
 	CGW_CALL_TIMED_OUT, /**< No complete response by the deadline. */
+	CGW_CALL_NO_ROOM, /**< The budget has no room for the response. */
 };
 
 struct cgw_conn;
@@ -28,7 +30,10 @@
  * the client the others. */
 struct cgw_call {
 	char address[64]; /**< IP:port. */
-	GByteArray *request; /**< Head and body; not owned. */
+	GByteArray *request; /**< Head, or head and body; not owned. */
+	GByteArray *request_body; /**< Sent after it; NULL: none; not owned. */
+	/** Budget for the body of the response; NULL: not counted. */
+	struct cg_memory_budget *budget;
 	/** Name of a response header whose value must equal @p id; responses
 	 * with another value are discarded. NULL: accept any response. */
 	const char *id_header;
@@ -48,6 +53,7 @@
 	int status;
 	GPtrArray *headers; /**< Name, value, ...; owned. */
 	GByteArray *body; /**< Owned. */
+	struct cg_memory_item memory; /**< Of the body, until it is cleared. */
 	bool sent; /**< At least one byte was sent. */
 	unsigned int interim; /**< Responses skipped so far. */
 	bool reused; /**< Sent on a reused connection. */
@@ -76,7 +82,7 @@
 void cgw_call_cancel(struct cgw_call *c);
 /** Returns whether a call was started and has not ended. */
 bool cgw_call_running(const struct cgw_call *c);
-/** Frees headers and body of the response. */
+/** Frees headers and body of the response and releases @c memory. */
 void cgw_call_clear(struct cgw_call *c);
 /** Returns the value of a response header (case-insensitive name), or NULL. */
 const char *cgw_call_header(const struct cgw_call *c, const char *name);
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "attempt.h"
 #include "celeryglade/counters.h"
 #include "gateway/decision_log.h"
 #include "gateway/gateway.h"
@@ -29,12 +30,18 @@
 /* A retry needs at least this share of the typical latency before the
  * deadline. */
 #define MIN_REMAINING_SHARE 0.8
+/* A request without room may return after this time and a random part of the
+ * spread: bodies without progress can be evicted by then. */
+#define MEMORY_RETRY_MS	       1000
+#define MEMORY_RETRY_SPREAD_MS 3000
 
 enum filter_result {
 	FILTER_CONTINUE,
 	FILTER_STOP
 };
 
+typedef enum filter_result (*filter)(struct cgw_exchange *x);
+
 static void request_slot(struct cgw_exchange *x, bool retry);
 
 struct cgw_exchange *cgw_exchange_new(struct cgw_gateway *g, const char *target)
@@ -51,16 +58,15 @@
 	return x;
 }
 
-static void log_attempt(const struct cgw_attempt *a, enum cgw_result result);
-
 static void end_attempt(struct cgw_attempt *a, enum cgw_result result)
 {
 	if (!a->active)
 		return;
 	a->active = false;
 	if (a->slot.state == CGW_SLOT_HELD)
-		log_attempt(a, result);
+		cgw_attempt_log(a, result);
 	cgw_call_cancel(&a->call);
+	cgw_call_clear(&a->call);
 	cgw_slot_release(&a->slot, result, NULL);
 }
 
@@ -77,6 +83,7 @@
 void cgw_exchange_free(struct cgw_exchange *x)
 {
 	end_attempts(x, CGW_RESULT_DROPPED);
+	cg_memory_release(&x->memory);
 	for (unsigned int i = 0; i < CGW_ATTEMPTS_MAX; i++) {
 		cgw_call_clear(&x->attempts[i].call);
 		if (x->attempts[i].request_bytes)
@@ -137,6 +144,7 @@
 static void complete(struct cgw_exchange *x, const char *server)
 {
 	x->done = true;
+	cgw_exchange_drop_body(x);
 	log_exchange(x, server);
 	x->completed(x);
 }
@@ -249,6 +257,7 @@
 				x, name, g_ptr_array_index(c->headers, i + 1));
 	}
 	x->response_body = c->body;
+	x->response_memory = &c->memory;
 	c->body = NULL;
 	end_attempts(x, CGW_RESULT_DROPPED);
 	cg_count(CG_COUNTER_ANSWERED);
@@ -257,52 +266,6 @@
 
 /* ---- attempts ---- */
 
-static void append_text(GByteArray *b, const char *text)
-{
-	g_byte_array_append(b, (const guint8 *)text, (guint)strlen(text));
-}
-
-static void append_header(GByteArray *b, const char *name, const char *value)
-{
-	append_text(b, name);
-	append_text(b, ": ");
-	append_text(b, value);
-	append_text(b, "\r\n");
-}
-
-static GByteArray *format_request(struct cgw_exchange *x, const char *server)
-{
-	const struct cgw_header_names *n = &x->gateway->format->headers;
-	cg_ms now = cgw_loop_now(x->gateway->loop);
-	GByteArray *b = g_byte_array_new();
-	char number[32];
-
-	append_text(b, x->method);
-	append_text(b, " ");
-	append_text(b, x->target);
-	append_text(b, " HTTP/1.1\r\n");
-	append_header(b, "Host", x->host);
-	if (x->id)
-		append_header(b, n->request_id, x->id);
-	g_snprintf(number, sizeof(number), "%d",
-		   (int)MAX(1, x->deadline - now));
-	append_header(b, n->deadline, number);
-	append_header(b, n->expected_server, server);
-	if (x->account)
-		append_header(b, n->account, x->account->name);
-	for (guint i = 0; i + 1 < x->headers->len; i += 2)
-		append_header(b, g_ptr_array_index(x->headers, i),
-			      g_ptr_array_index(x->headers, i + 1));
-	if (x->body->len ||
-	    (strcmp(x->method, "GET") != 0 && strcmp(x->method, "HEAD") != 0)) {
-		g_snprintf(number, sizeof(number), "%u", x->body->len);
-		append_header(b, "Content-Length", number);
-	}
-	append_text(b, "\r\n");
-	g_byte_array_append(b, x->body->data, x->body->len);
-	return b;
-}
-
 /* Returns whether the request may be sent again if a slot is granted. */
 static bool may_retry(const struct cgw_exchange *x)
 {
@@ -326,6 +289,7 @@
 		[CGW_CALL_TRUNCATED] = CG_REASON_RESPONSE_TRUNCATED,
 		[CGW_CALL_MALFORMED] = CG_REASON_RESPONSE_MISMATCHED,
 		[CGW_CALL_TIMED_OUT] = CG_REASON_DEADLINE_EXCEEDED,
+		[CGW_CALL_NO_ROOM] = CG_REASON_MEMORY_FULL,
 	};
 
 	/* Another attempt is in progress and may still succeed. */
@@ -334,104 +298,6 @@
 	refuse(x, reasons[a->call.outcome], 500);
 }
 
-/* Returns the result that the broker counts for a finished call. */
-static enum cgw_result attempt_result(const struct cgw_exchange *x,
-				      const struct cgw_call *c)
-{
-	switch (c->outcome) {
-	case CGW_CALL_RESPONDED:
-		if (c->status == 421)
-			return CGW_RESULT_MISPLACED;
-		if (cgw_call_header(c, x->gateway->format->headers.not_run))
-			return CGW_RESULT_SHED;
-		/* The server itself adds the seal header. Without it nothing
-		 * proves that a success came from the server, so it counts as
-		 * no usable response. */
-		if (c->status < 300 &&
-		    !cgw_call_header(c, x->gateway->format->headers.seal))
-			return CGW_RESULT_LOST;
-		return c->status >= 500 ? CGW_RESULT_ERROR : CGW_RESULT_SERVED;
-	case CGW_CALL_NOT_SENT:
-		return CGW_RESULT_UNREACHED;
-	case CGW_CALL_LOST:
-	case CGW_CALL_TRUNCATED:
-	case CGW_CALL_MALFORMED:
-		return CGW_RESULT_LOST;
-	case CGW_CALL_TIMED_OUT:
-		return CGW_RESULT_HUNG;
-	}
-	return CGW_RESULT_LOST;
-}
-
-static void count_retry(enum cgw_result result)
-{
-	static const enum cg_retry counters[CGW_RESULT_COUNT] = {
-		[CGW_RESULT_SERVED] = CG_RETRY_STATUS,
-		[CGW_RESULT_ERROR] = CG_RETRY_STATUS,
-		[CGW_RESULT_LOST] = CG_RETRY_CONNECTION_LOST,
-		[CGW_RESULT_HUNG] = CG_RETRY_TIMEOUT,
-		[CGW_RESULT_SHED] = CG_RETRY_SHED,
-		[CGW_RESULT_UNREACHED] = CG_RETRY_CONNECT_FAILED,
-		[CGW_RESULT_MISPLACED] = CG_RETRY_MISMATCHED,
-	};
-
-	cg_count_retry(counters[result]);
-}
-
-static const char *const result_names[CGW_RESULT_COUNT] = {
-	[CGW_RESULT_SERVED] = "served",
-	[CGW_RESULT_ERROR] = "error",
-	[CGW_RESULT_LOST] = "lost",
-	[CGW_RESULT_HUNG] = "hung",
-	[CGW_RESULT_SHED] = "shed",
-	[CGW_RESULT_UNREACHED] = "unreached",
-	[CGW_RESULT_MISPLACED] = "misplaced",
-	[CGW_RESULT_DROPPED] = "dropped",
-	[CGW_RESULT_UNUSED] = "unused",
-};
-
-/* Logs an attempt that did not serve its request: the server, the result, and
- * the typical latency known when it started. */
-static void log_attempt(const struct cgw_attempt *a, enum cgw_result result)
-{
-	const struct cgw_exchange *x = a->exchange;
-	cg_ms now = cgw_loop_now(x->gateway->loop);
-
-	if (result == CGW_RESULT_SERVED)
-		return;
-	cgw_log_line("attempt",
-		     "\"id\":\"%s\",\"server\":\"%s\",\"address\":\"%s\","
-		     "\"result\":\"%s\",\"status\":%d,\"reused\":%s,"
-		     "\"usual_ms\":%d,\"took_ms\":%d",
-		     x->id ? x->id : "", a->slot.server, a->call.address,
-		     result_names[result], a->call.status,
-		     a->call.reused ? "true" : "false",
-		     (int)a->typical_latency_ms,
-		     (int)(now - a->slot.granted_at));
-}
-
-/* Reads what the server says of itself with its response. */
-static void read_notice(const struct cgw_attempt *a,
-			struct cgw_server_notice *out)
-{
-	const struct cgw_call *c = &a->call;
-	const char *text;
-
-	memset(out, 0, sizeof(*out));
-	if (c->outcome != CGW_CALL_RESPONDED)
-		return;
-	text = cgw_call_header(c,
-			       a->exchange->gateway->format->headers.leaving);
-	out->leaving = text && !strcmp(text, "1");
-	text = c->status == 503 ? cgw_call_header(c, "Retry-After") : NULL;
-	if (text && cgw_retry_after_parse(text, &out->rest_ms)) {
-		cg_count(CG_COUNTER_RETRY_AFTER_IGNORED);
-		cg_info("ignored a Retry-After of server %s: it is not a "
-			"number of seconds",
-			a->slot.server);
-	}
-}
-
 /* Handles the end of an attempt: responds to the client, waits for the other
  * active attempt (the original or its hedge), requests a slot for a retry, or
  * fails the request if it must not be sent again. */
@@ -439,7 +305,7 @@
 {
 	struct cgw_attempt *a = caa_container_of(c, struct cgw_attempt, call);
 	struct cgw_exchange *x = a->exchange;
-	enum cgw_result result = attempt_result(x, c);
+	enum cgw_result result = cgw_attempt_result(x, c);
 	struct cgw_server_notice said;
 	bool possibly_ran = result != CGW_RESULT_SHED &&
 			    result != CGW_RESULT_MISPLACED &&
@@ -447,8 +313,8 @@
 
 	a->active = false;
 	cgw_timer_cancel(x->gateway->loop, &x->hedge_timer);
-	log_attempt(a, result);
-	read_notice(a, &said);
+	cgw_attempt_log(a, result);
+	cgw_attempt_read_notice(a, &said);
 	cgw_slot_release(&a->slot, result, &said);
 	if (!possibly_ran && result != CGW_RESULT_UNREACHED)
 		x->possible_runs--;
@@ -465,6 +331,11 @@
 	}
 	if (result != CGW_RESULT_ERROR && possibly_ran)
 		x->may_have_run = true;
+	/* Another server's response would find no room either. */
+	if (c->outcome == CGW_CALL_NO_ROOM) {
+		fail_request(x, a);
+		return;
+	}
 	if (!may_retry(x)) {
 		cg_count_retry(x->may_have_run && !x->route->idempotent
 				       ? CG_RETRY_DENIED_UNSAFE
@@ -474,7 +345,7 @@
 	}
 	if (count_active_attempts(x))
 		return;
-	count_retry(result);
+	cgw_attempt_count_retry(result);
 	request_slot(x, x->sent_attempts > 0);
 }
 
@@ -518,9 +389,11 @@
 	a->overdue_ms = d->u.grant.overdue_ms;
 	if (a->request_bytes)
 		g_byte_array_unref(a->request_bytes);
-	a->request_bytes = format_request(x, d->u.grant.server);
+	a->request_bytes = cgw_attempt_format_head(x, d->u.grant.server);
 	g_strlcpy(c->address, d->u.grant.address, sizeof(c->address));
 	c->request = a->request_bytes;
+	c->request_body = x->body;
+	c->budget = &x->gateway->memory;
 	c->id_header = x->id ? x->gateway->format->headers.request_id : NULL;
 	c->id = x->id;
 	c->head = !strcmp(x->method, "HEAD");
@@ -629,13 +502,38 @@
 
 static enum filter_result filter_malformed(struct cgw_exchange *x)
 {
-	if (!x->malformed && !x->too_large && !x->head_too_large)
+	enum cg_reason reason = CG_OK;
+
+	if (x->too_large)
+		reason = CG_REASON_BODY_TOO_LARGE;
+	else if (x->head_too_large)
+		reason = CG_REASON_HEAD_TOO_LARGE;
+	else if (x->malformed)
+		reason = CG_REASON_BAD_REQUEST;
+	if (reason == CG_OK)
 		return FILTER_CONTINUE;
-	refuse(x,
-	       x->too_large	   ? CG_REASON_BODY_TOO_LARGE
-	       : x->head_too_large ? CG_REASON_HEAD_TOO_LARGE
-				   : CG_REASON_BAD_REQUEST,
-	       0);
+	refuse(x, reason, 0);
+	return FILTER_STOP;
+}
+
+/* Refuses what could not get a slot before the process exits. */
+static enum filter_result filter_stopping(struct cgw_exchange *x)
+{
+	struct cgw_gateway *g = x->gateway;
+	cg_ms now = cgw_loop_now(g->loop);
+
+	if (!g->stopping || cgw_gateway_slot_deadline(g, now + 1) > now)
+		return FILTER_CONTINUE;
+	refuse(x, CG_REASON_QUEUE_TIMEOUT, 0);
+	return FILTER_STOP;
+}
+
+static enum filter_result filter_room(struct cgw_exchange *x)
+{
+	if (cgw_exchange_reserve(x))
+		return FILTER_CONTINUE;
+	refuse(x, CG_REASON_MEMORY_FULL,
+	       MEMORY_RETRY_MS + g_random_int_range(0, MEMORY_RETRY_SPREAD_MS));
 	return FILTER_STOP;
 }
 
@@ -649,6 +547,9 @@
 		refuse(x, CG_REASON_NO_CONFIG, PROOF_RETRY_AFTER_MS);
 		return FILTER_STOP;
 	}
+	/* The one of the head check may be outdated. */
+	cgw_table_unref(x->table);
+	x->account = NULL;
 	x->table = cgw_table_ref(t);
 	path = g_strndup(x->target, strcspn(x->target, "?#"));
 	x->route = cgw_table_find_route(t, x->host ? x->host : "", path);
@@ -691,6 +592,8 @@
 {
 	struct cgw_loop *l = x->gateway->loop;
 
+	/* From here on the body is needed, and its sender waits. */
+	x->memory.evict = NULL;
 	x->service = cgw_route_pick_service(x->route, g_random_int());
 	x->deadline_timer.fire = on_deadline;
 	x->hedge_timer.fire = on_hedge;
@@ -701,13 +604,27 @@
 	return FILTER_STOP;
 }
 
+bool cgw_exchange_check_head(struct cgw_exchange *x, cg_ms arrived_at)
+{
+	static const filter chain[] = {
+		filter_malformed, filter_stopping, filter_route,
+		filter_key,	  filter_room,
+	};
+
+	x->arrived_at = arrived_at;
+	for (size_t i = 0; i < G_N_ELEMENTS(chain); i++)
+		if (chain[i](x) == FILTER_STOP) {
+			cg_count(CG_COUNTER_REQUESTS);
+			return false;
+		}
+	return true;
+}
+
 void cgw_exchange_start(struct cgw_exchange *x, cg_ms arrived_at)
 {
-	static enum filter_result (*const chain[])(struct cgw_exchange *) = {
-		filter_malformed,
-		filter_route,
-		filter_key,
-		filter_slot,
+	static const filter chain[] = {
+		filter_malformed, filter_route, filter_key,
+		filter_room,	  filter_slot,
 	};
 
 	cg_count(CG_COUNTER_REQUESTS);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -242,6 +242,7 @@
 	/* A signal that arrives before its handler is installed terminates the
 	 * process, whose supervisor then takes the stop for a crash. */
 	install_signal_handlers();
+	cg_memory_init_allocator();
 	if (cgw_settings_load(path, &g.settings, &faults)) {
 		if (stop_requested) {
 			cg_faults_clear(&faults);
--- a/src/gateway/ingress.c
+++ b/src/gateway/ingress.c
@@ -1,8 +1,7 @@
 #define CG_PART "ingress"
-#include "gateway/ingress.h"
+#include "ingress_private.h"
 
 #include <arpa/inet.h>
-#include <microhttpd.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
@@ -11,16 +10,9 @@
 #include <unistd.h>
 
 #include "celeryglade/counters.h"
-#include "gateway/decision_log.h"
-#include "http_server.h"
 #include "internal/address.h"
-#include "internal/http_text.h"
 #include "internal/logging.h"
 
-/* libmicrohttpd keeps the head of a request, with a record for each field, and the
- * head of its response in one block for each connection. Each has its own part
- * of it, so that what has been forwarded can be answered. */
-#define FIELD_MEMORY 64
 /* Status line and fields that the daemon itself adds to a response. */
 #define OWN_RESPONSE_HEAD_MEMORY 1024
 /* Used until a configuration sets the idle timeout. */
@@ -31,7 +23,6 @@
  * pipelined: the round trip of a caller that waits for the response takes
  * longer. */
 #define PIPELINED_MS 3
-#define BEARER	     "Bearer "
 /* Descriptors of the process that are not for callers: a share for connections
  * to servers, which grow with the requests in progress, and a fixed number for
  * the store, the other daemons and files. */
@@ -41,38 +32,16 @@
 /* Below the limit by this share, the longest idle connection is closed for each
  * new one. With twice the share of busy ones the daemon is not ready. */
 #define CALLERS_MARGIN_SHARE 16
-
-struct cgw_ingress {
-	struct cgw_gateway *gateway;
-	struct cgw_http_server callers;
-	struct cgw_http_server ready;
-	struct cgw_http_server metrics;
-	struct cgw_timer housekeeping;
-	struct cgw_timer run_soon; /* runs the callers' server again */
-	struct cds_list_head connections; /* struct connection, idle longest
-					   * first */
-	unsigned int connection_count;
-	unsigned int connection_limit;
-};
-
-/* A caller's connection. libmicrohttpd does not watch a connection while its
- * request is being handled, so this module watches for a disconnect, without
- * reading from the socket. */
-struct connection {
-	struct cds_list_head node;
-	struct cgw_io io;
-	struct cgw_ingress *ingress;
-	struct MHD_Connection *mhd;
-	struct cgw_exchange *exchange; /* the request being handled */
-	/* Its head is not read yet; freed when libmicrohttpd reports its end,
-	 * or else with the connection. */
-	struct cgw_exchange *incomplete;
-	cg_ms last_bytes_at; /* when bytes last arrived; 0: unknown */
-	cg_ms last_completed_at; /* when a request last ended; 0: never */
-	bool suspended; /* by MHD_suspend_connection() */
-	bool caller_closed;
-	bool closing; /* no further request is read */
-};
+/* Memory for a connection besides the heads: libmicrohttpd's and our own
+ * records. */
+#define CONNECTION_RECORDS 8192
+/* Larger responses are sent in blocks, so that a caller that does not read can be
+ * told from one that does. */
+#define WHOLE_RESPONSE_MAX (64 * 1024)
+#define RESPONSE_BLOCK	   (16 * 1024)
+/* A body that is not kept is read up to this factor of the longest one, so that
+ * the caller gets its response. */
+#define DISCARDED_FACTOR 2
 
 static void resume(struct connection *c)
 {
@@ -109,16 +78,14 @@
 	c->incomplete = NULL;
 }
 
-/* Returns the number of connections that is @parts parts of the margin below the
- * limit. */
-static unsigned int callers_margin(const struct cgw_ingress *in,
-				   unsigned int parts)
+unsigned int cgw_ingress_margin(const struct cgw_ingress *in,
+				unsigned int parts)
 {
 	return in->connection_limit -
 	       in->connection_limit * parts / CALLERS_MARGIN_SHARE;
 }
 
-static bool is_idle(const struct connection *c)
+bool cgw_connection_is_idle(const struct connection *c)
 {
 	return !c->exchange && !c->incomplete && !c->closing;
 }
@@ -130,18 +97,75 @@
 }
 
 /* The newest connection is not looked at: its request is on the way. */
-static void close_longest_idle(struct cgw_ingress *in)
+static bool close_longest_idle(struct cgw_ingress *in)
 {
 	struct connection *c;
 
 	cds_list_for_each_entry(c, &in->connections, node) {
 		if (c->node.next == &in->connections)
-			return;
-		if (!is_idle(c))
+			break;
+		if (!cgw_connection_is_idle(c))
 			continue;
 		close_connection(c);
-		return;
+		return true;
+	}
+	return false;
+}
+
+static bool is_stalled(const struct connection *c)
+{
+	return (c->incomplete ||
+		(c->exchange && !c->suspended && !c->exchange->done)) &&
+	       !c->closing &&
+	       cgw_loop_now(c->ingress->gateway->loop) - c->last_bytes_at >=
+		       CG_MEMORY_STALLED_MS;
+}
+
+/* Closes a connection whose request has stopped arriving. */
+static bool close_stalled(struct cgw_ingress *in)
+{
+	struct connection *c;
+
+	cds_list_for_each_entry(c, &in->connections, node) {
+		if (c->node.next == &in->connections)
+			break;
+		if (!is_stalled(c))
+			continue;
+		cg_count(CG_COUNTER_BODIES_STALLED);
+		close_connection(c);
+		return true;
 	}
+	return false;
+}
+
+static cg_ms idle_timeout_ms(const struct cgw_ingress *in)
+{
+	struct cgw_table *t = cgw_feed_table(in->gateway->feed);
+	cg_ms idle = t ? cgw_table_limits(t)->idle_timeout_ms : 0;
+
+	return idle > 0 ? idle : (cg_ms)IDLE_TIMEOUT_S * 1000;
+}
+
+/* Sets how long the connection may be without a byte. */
+static void set_timeout(const struct connection *c, cg_ms ms)
+{
+	MHD_set_connection_option(c->mhd, MHD_CONNECTION_OPTION_TIMEOUT,
+				  (unsigned int)(ms / 1000 + 1));
+}
+
+/* Counts the connection. Closes others, or this one, if it does not fit. */
+static void limit_connections(struct connection *c)
+{
+	struct cgw_ingress *in = c->ingress;
+	bool fits = cg_memory_connect(&in->gateway->memory,
+				      cgw_loop_now(in->gateway->loop));
+
+	cds_list_add_tail(&c->node, &in->connections);
+	in->connection_count++;
+	if (fits && in->connection_count <= cgw_ingress_margin(in, 1))
+		return;
+	if (!close_longest_idle(in) && !close_stalled(in) && !fits)
+		close_connection(c);
 }
 
 static void on_connection(void *cls, struct MHD_Connection *mhd, void **context,
@@ -159,6 +183,7 @@
 		cgw_loop_del(l, &c->io);
 		cds_list_del(&c->node);
 		in->connection_count--;
+		cg_memory_disconnect(&in->gateway->memory);
 		g_free(c);
 		*context = NULL;
 		return;
@@ -169,23 +194,13 @@
 	c->mhd = mhd;
 	c->io.fd = info->connect_fd;
 	c->io.ready = on_caller_event;
-	cds_list_add_tail(&c->node, &in->connections);
-	in->connection_count++;
-	if (in->connection_count > callers_margin(in, 1))
-		close_longest_idle(in);
+	limit_connections(c);
 	if (cgw_loop_add(l, &c->io, EPOLLIN | EPOLLRDHUP | EPOLLET))
 		cg_warning("cannot watch a caller's connection; its disconnect "
 			   "will not be noticed");
 	*context = c;
-	if (cgw_feed_table(in->gateway->feed)) {
-		cg_ms idle = cgw_table_limits(cgw_feed_table(in->gateway->feed))
-				     ->idle_timeout_ms;
-
-		if (idle > 0)
-			MHD_set_connection_option(
-				mhd, MHD_CONNECTION_OPTION_TIMEOUT,
-				(unsigned int)(idle / 1000 + 1));
-	}
+	if (cgw_feed_table(in->gateway->feed))
+		set_timeout(c, idle_timeout_ms(in));
 }
 
 static struct connection *connection_of(struct MHD_Connection *mhd)
@@ -196,167 +211,116 @@
 	return i ? i->socket_context : NULL;
 }
 
-/* ---- reading a request ---- */
-
-struct head_state {
-	struct cgw_exchange *exchange;
-	const char *connection; /* value of the Connection header, or NULL */
-	const char *length;
-	/* How often these headers occur. */
-	unsigned int lengths; /* Content-Length */
-	unsigned int codings; /* Transfer-Encoding */
-	unsigned int hosts;
-	unsigned int ids; /* request id */
-	unsigned int keys; /* Authorization */
-	size_t memory; /* that libmicrohttpd uses for the head */
-	bool bad_coding; /* a transfer coding other than "chunked" */
-};
+int64_t cgw_ingress_max_body(const struct cgw_gateway *g)
+{
+	struct cgw_table *t = cgw_feed_table(g->feed);
+	int64_t limit = t ? cgw_table_limits(t)->max_body_bytes : 0;
 
-static bool names_equal(const char *a, const char *b)
-{
-	return !g_ascii_strcasecmp(a, b);
-}
-
-/* Handles a header that is meant for the gateway or must not be forwarded.
- * Returns false for a header that is to be forwarded. */
-static bool handle_header(struct head_state *head, const char *name,
-			  const char *value)
-{
-	struct cgw_exchange *x = head->exchange;
-	const struct cgw_header_names *n = &x->gateway->format->headers;
-
-	if (names_equal(name, "Host")) {
-		if (!head->hosts++)
-			x->host = g_strdup(value);
-	} else if (names_equal(name, n->request_id)) {
-		if (!head->ids++)
-			x->id = g_strdup(value);
-	} else if (names_equal(name, n->deadline)) {
-		x->caller_timeout_ms = (cg_ms)strtoll(value, NULL, 10);
-	} else if (names_equal(name, "Authorization")) {
-		if (!head->keys++ &&
-		    !g_ascii_strncasecmp(value, BEARER, strlen(BEARER)))
-			x->bearer = g_strdup(value + strlen(BEARER));
-	} else if (names_equal(name, "Content-Length")) {
-		head->lengths++;
-	} else if (names_equal(name, "Transfer-Encoding")) {
-		head->codings++;
-		head->bad_coding |= !names_equal(value, "chunked");
-	} else if (names_equal(name, "Connection")) {
-		head->connection = value;
-	} else if (!names_equal(name, n->account) &&
-		   !names_equal(name, n->expected_server) &&
-		   !names_equal(name, "Keep-Alive") &&
-		   !names_equal(name, "Proxy-Connection") &&
-		   !names_equal(name, "Proxy-Authorization") &&
-		   !names_equal(name, "TE") && !names_equal(name, "Trailer") &&
-		   !names_equal(name, "Upgrade") &&
-		   !names_equal(name, "Expect")) {
-		return false;
-	}
-	return true;
+	return limit > 0 ? limit : 1 << 20;
 }
 
-static enum MHD_Result on_header(void *cls, enum MHD_ValueKind kind,
-				 const char *name, const char *value)
-{
-	struct head_state *head = cls;
+/* ---- sending a response ---- */
 
-	(void)kind;
-	if (!value)
-		value = "";
-	head->memory += strlen(name) + strlen(value) + FIELD_MEMORY;
-	if (!handle_header(head, name, value)) {
-		g_ptr_array_add(head->exchange->headers, g_strdup(name));
-		g_ptr_array_add(head->exchange->headers, g_strdup(value));
-	}
-	return MHD_YES;
-}
+/* A response that is sent in blocks. */
+struct blocks {
+	GByteArray *body;
+	struct cgw_exchange *exchange; /* exists while blocks are read */
+};
 
-/* Removes the headers that the caller's Connection header lists. */
-static void remove_connection_headers(struct cgw_exchange *x,
-				      const char *connection)
+static void free_body(void *cls)
 {
-	char **names;
-
-	if (!connection)
-		return;
-	names = g_strsplit(connection, ",", 16);
-	for (char **n = names; *n; n++) {
-		g_strstrip(*n);
-		for (guint i = x->headers->len; i >= 2; i -= 2)
-			if (names_equal(g_ptr_array_index(x->headers, i - 2),
-					*n))
-				g_ptr_array_remove_range(x->headers, i - 2, 2);
-	}
-	g_strfreev(names);
+	g_byte_array_unref(cls);
 }
 
-static void read_head(struct cgw_exchange *x, struct MHD_Connection *mhd,
-		      const char *method)
+static void free_blocks(void *cls)
 {
-	struct head_state head = { .exchange = x,
-				   .memory = strlen(x->target) + FIELD_MEMORY };
+	struct blocks *b = cls;
 
-	x->method = g_strdup(method);
-	MHD_get_connection_values(mhd, MHD_HEADER_KIND, on_header, &head);
-	remove_connection_headers(x, head.connection);
-	x->head_too_large = (int64_t)head.memory >
-			    x->gateway->settings.request_head_max_bytes;
-	/* With two lengths, or a length and a transfer coding, two parsers can
-	 * disagree on where the request ends (request smuggling). */
-	x->malformed = head.bad_coding || head.lengths + head.codings > 1 ||
-		       head.hosts != 1 || head.ids > 1 || head.keys > 1 ||
-		       x->target[0] != '/';
+	g_byte_array_unref(b->body);
+	g_free(b);
 }
 
-static int64_t max_body(struct cgw_gateway *g)
+static ssize_t read_block(void *cls, uint64_t pos, char *out, size_t max)
 {
-	struct cgw_table *t = cgw_feed_table(g->feed);
-	int64_t limit = t ? cgw_table_limits(t)->max_body_bytes : 0;
+	struct blocks *b = cls;
+	struct cgw_exchange *x = b->exchange;
+	size_t n = MIN(max, b->body->len - pos);
 
-	return limit > 0 ? limit : 1 << 20;
+	memcpy(out, b->body->data + pos, n);
+	cg_memory_progress(x->response_memory, (int64_t)n,
+			   cgw_loop_now(x->gateway->loop));
+	return (ssize_t)n;
 }
 
-static void append_body(struct cgw_exchange *x, const char *data, size_t len)
+/* The caller has not read its response while others need the memory. Closing
+ * the connection shows it that the response is not complete. */
+static void evict_response(struct cg_memory_item *item)
 {
-	if (x->too_large ||
-	    (int64_t)(x->body->len + len) > max_body(x->gateway)) {
-		x->too_large = true;
-		return;
-	}
-	g_byte_array_append(x->body, (const guint8 *)data, (guint)len);
-}
-
-/* ---- sending a response ---- */
+	struct cgw_call *call = caa_container_of(item, struct cgw_call, memory);
+	struct cgw_attempt *a =
+		caa_container_of(call, struct cgw_attempt, call);
+	struct connection *c = a->exchange->owner;
 
-static void free_body(void *cls)
-{
-	g_byte_array_unref(cls);
+	cg_memory_release(item);
+	cg_count(CG_COUNTER_RESPONSES_STALLED);
+	close_connection(c);
+	cgw_timer_arm(c->ingress->gateway->loop, &c->ingress->run_soon,
+		      cgw_loop_now(c->ingress->gateway->loop));
 }
 
-static enum MHD_Result send_response(struct cgw_exchange *x,
-				     struct MHD_Connection *mhd)
+static struct MHD_Response *make_response(struct cgw_exchange *x)
 {
 	GByteArray *body = x->response_body;
+	struct cg_memory_item *memory = x->response_memory;
 	struct MHD_Response *m;
-	enum MHD_Result rc;
+	struct blocks *b;
 
 	x->response_body = NULL;
-	m = MHD_create_response_from_buffer_with_free_callback_cls(
-		body->len, body->data ? (void *)body->data : (void *)"",
-		free_body, body);
-	if (!m) {
-		g_byte_array_unref(body);
-		return MHD_NO;
+	if (memory && memory->budget) {
+		memory->evict = evict_response;
+		cg_memory_progress(memory, CG_MEMORY_PROGRESS_BYTES,
+				   cgw_loop_now(x->gateway->loop));
+	}
+	if (!memory || body->len <= WHOLE_RESPONSE_MAX) {
+		m = MHD_create_response_from_buffer_with_free_callback_cls(
+			body->len, body->data ? (void *)body->data : (void *)"",
+			free_body, body);
+		if (!m)
+			g_byte_array_unref(body);
+		return m;
 	}
+	cg_memory_reserve(&x->gateway->memory, memory,
+			  memory->bytes + RESPONSE_BLOCK,
+			  cgw_loop_now(x->gateway->loop));
+	b = g_new0(struct blocks, 1);
+	b->body = body;
+	b->exchange = x;
+	m = MHD_create_response_from_callback(body->len, RESPONSE_BLOCK,
+					      read_block, b, free_blocks);
+	if (!m)
+		free_blocks(b);
+	return m;
+}
+
+/* @early: the body of the request has not been read. */
+static enum MHD_Result send_response(struct cgw_exchange *x,
+				     struct MHD_Connection *mhd, bool early)
+{
+	const struct cgw_gateway *g = x->gateway;
+	struct MHD_Response *m = make_response(x);
+	enum MHD_Result rc;
+
+	if (!m)
+		return MHD_NO;
 	for (guint i = 0; i + 1 < x->response_headers->len; i += 2)
 		MHD_add_response_header(
 			m, g_ptr_array_index(x->response_headers, i),
 			g_ptr_array_index(x->response_headers, i + 1));
-	if (x->gateway->stopping || x->malformed || x->too_large ||
+	if (early || g->stopping || x->malformed || x->too_large ||
 	    x->head_too_large)
 		MHD_add_response_header(m, "Connection", "close");
+	if (g->settings.response_stall_ms)
+		set_timeout(x->owner, g->settings.response_stall_ms);
 	rc = MHD_queue_response(mhd, (unsigned int)x->status, m);
 	MHD_destroy_response(m);
 	return rc;
@@ -381,6 +345,19 @@
 	return now;
 }
 
+/* Answers what the head decides, or begins to read the body. */
+static enum MHD_Result begin_body(struct cgw_exchange *x,
+				  struct MHD_Connection *mhd)
+{
+	const struct cgw_gateway *g = x->gateway;
+
+	if (!cgw_exchange_check_head(x, cgw_loop_now(g->loop)))
+		return send_response(x, mhd, true);
+	if (g->settings.body_stall_ms)
+		set_timeout(x->owner, g->settings.body_stall_ms);
+	return MHD_YES;
+}
+
 static enum MHD_Result handle_request(void *cls, struct MHD_Connection *mhd,
 				      const char *url, const char *method,
 				      const char *version, const char *data,
@@ -400,18 +377,20 @@
 	if (!x || !c || c->caller_closed || (c->closing && !c->exchange))
 		return MHD_NO;
 	if (!x->method) {
-		read_head(x, mhd, method);
+		cgw_read_head(x, mhd, method);
 		x->completed = on_exchange_completed;
 		c->exchange = x;
-		return MHD_YES;
+		return x->has_body ? begin_body(x, mhd) : MHD_YES;
 	}
 	if (*data_size) {
-		append_body(x, data, *data_size);
+		int64_t max = cgw_ingress_max_body(c->ingress->gateway);
+
+		cgw_exchange_append_body(x, data, *data_size, max);
 		*data_size = 0;
-		return MHD_YES;
+		return x->received > max * DISCARDED_FACTOR ? MHD_NO : MHD_YES;
 	}
 	if (x->done)
-		return x->response_body ? send_response(x, mhd) : MHD_NO;
+		return x->response_body ? send_response(x, mhd, false) : MHD_NO;
 	MHD_suspend_connection(mhd);
 	c->suspended = true;
 	cgw_exchange_start(x, request_arrived_at(c));
@@ -433,6 +412,16 @@
 	return c->incomplete;
 }
 
+static void report_timeout(const struct cgw_exchange *x)
+{
+	cg_count(x->done ? CG_COUNTER_RESPONSES_STALLED
+			 : CG_COUNTER_BODIES_STALLED);
+	cg_info("closed a connection: %s", x->done ? "the caller does not read "
+						     "its response"
+						   : "the request has stopped "
+						     "arriving");
+}
+
 static void on_completed(void *cls, struct MHD_Connection *mhd, void **state,
 			 enum MHD_RequestTerminationCode code)
 {
@@ -441,10 +430,15 @@
 
 	(void)cls;
 	(void)mhd;
-	(void)code;
 	if (!x)
 		return;
 	c = x->owner;
+	if (code == MHD_REQUEST_TERMINATED_TIMEOUT_REACHED)
+		report_timeout(x);
+	if (code == MHD_REQUEST_TERMINATED_COMPLETED_OK &&
+	    (x->gateway->settings.body_stall_ms ||
+	     x->gateway->settings.response_stall_ms))
+		set_timeout(c, idle_timeout_ms(c->ingress));
 	if (c->incomplete == x)
 		c->incomplete = NULL;
 	if (c->exchange == x) {
@@ -457,83 +451,6 @@
 	*state = NULL;
 }
 
-/* ---- readiness and metrics ---- */
-
-/* Counts the connections that cannot be closed for new ones. */
-static unsigned int count_busy(const struct cgw_ingress *in)
-{
-	const struct connection *c;
-	unsigned int n = 0;
-
-	if (in->connection_count <= callers_margin(in, 2))
-		return in->connection_count;
-	cds_list_for_each_entry(c, &in->connections, node)
-		n += !is_idle(c);
-	return n;
-}
-
-static enum MHD_Result handle_ready(void *cls, struct MHD_Connection *mhd,
-				    const char *url, const char *method,
-				    const char *version, const char *data,
-				    size_t *data_size, void **state)
-{
-	struct cgw_ingress *in = cls;
-	const char *why = cgw_gateway_unready_reason(in->gateway);
-
-	if (!why && count_busy(in) > callers_margin(in, 2))
-		why = "too many connections";
-
-	(void)url;
-	(void)method;
-	(void)version;
-	(void)data;
-	(void)data_size;
-	(void)state;
-	return cg_http_respond_text(mhd, why ? 503 : 200, why ? why : "ready");
-}
-
-static void add_metric(GString *s, const char *name, uint64_t value)
-{
-	g_string_append_printf(s, "celeryglade_%s %" G_GUINT64_FORMAT "\n",
-			       name, (guint64)value);
-}
-
-static enum MHD_Result handle_metrics(void *cls, struct MHD_Connection *mhd,
-				      const char *url, const char *method,
-				      const char *version, const char *data,
-				      size_t *data_size, void **state)
-{
-	struct cgw_ingress *in = cls;
-	struct cgw_gateway *g = in->gateway;
-	GString *s = g_string_new(NULL);
-	struct cgw_table *t = cgw_feed_table(g->feed);
-	enum MHD_Result rc;
-
-	(void)url;
-	(void)method;
-	(void)version;
-	(void)data;
-	(void)data_size;
-	(void)state;
-	for (int i = 0; i < CG_COUNTER_COUNT; i++)
-		if (cg_counter_read((enum cg_counter)i))
-			add_metric(s, cg_counter_name((enum cg_counter)i),
-				   cg_counter_read((enum cg_counter)i));
-	add_metric(s, "config_version", t ? cgw_table_version(t) : 0);
-	add_metric(s, "store_calls", cgw_feed_call_count(g->feed));
-	add_metric(s, "connections_opened",
-		   cgw_upstream_connections_opened(g->client));
-	add_metric(s, "ejections",
-		   cgw_broker_ejections(cgw_fleet_broker(g->fleet)));
-	add_metric(s, "log_lines_dropped", cgw_log_dropped());
-	add_metric(s, "requests_running", g->running_requests);
-	add_metric(s, "caller_connections", in->connection_count);
-	add_metric(s, "caller_connection_limit", in->connection_limit);
-	rc = cg_http_respond_text(mhd, 200, s->str);
-	g_string_free(s, TRUE);
-	return rc;
-}
-
 /* ---- set-up ---- */
 
 /* Raises the limit of descriptors as far as the process may, and returns how many
@@ -605,11 +522,15 @@
 struct cgw_ingress *cgw_ingress_new(struct cgw_gateway *g)
 {
 	struct cgw_ingress *in = g_new0(struct cgw_ingress, 1);
-	struct sockaddr_in sa;
 
 	in->gateway = g;
 	in->connection_limit =
 		find_connection_limit((rlim_t)g->settings.descriptors_max);
+	cg_memory_init(&g->memory, g->settings.memory_max_mb,
+		       (int64_t)connection_memory(&g->settings) +
+			       CONNECTION_RECORDS);
+	in->connection_limit = MIN(in->connection_limit,
+				   cg_memory_connections_max(&g->memory));
 	cg_info("takes up to %u connections of callers", in->connection_limit);
 	CDS_INIT_LIST_HEAD(&in->connections);
 	in->housekeeping.fire = on_housekeeping;
@@ -618,21 +539,8 @@
 		cg_error("cannot listen for callers on %s", g->settings.listen);
 		goto fail;
 	}
-	if (cg_parse_address(g->settings.ready, &sa) ||
-	    cgw_http_server_start(&in->ready, g->loop, &sa, handle_ready, in)) {
-		cg_error("cannot listen for readiness checks on %s",
-			 g->settings.ready);
+	if (cgw_ingress_start_status(in))
 		goto fail;
-	}
-	if (g->settings.metrics_port) {
-		sa.sin_addr.s_addr = INADDR_ANY;
-		sa.sin_port = htons((uint16_t)g->settings.metrics_port);
-		if (cgw_http_server_start(&in->metrics, g->loop, &sa,
-					  handle_metrics, in))
-			cg_warning("cannot listen for metrics on port %d; "
-				   "metrics are not available",
-				   (int)g->settings.metrics_port);
-	}
 	cgw_timer_arm(g->loop, &in->housekeeping,
 		      cgw_loop_now(g->loop) + HOUSEKEEPING_MS);
 	return in;
--- /dev/null
+++ b/src/gateway/ingress_private.h
@@ -0,0 +1,58 @@
+/**
+ * @file ingress_private.h
+ * State of the HTTP server for callers.
+ */
+#ifndef CELERYGLADE_GATEWAY_INGRESS_PRIVATE_H
+#define CELERYGLADE_GATEWAY_INGRESS_PRIVATE_H
+
+#include "gateway/ingress.h"
+#include "http_server.h"
+
+struct cgw_ingress {
+	struct cgw_gateway *gateway;
+	struct cgw_http_server callers;
+	struct cgw_http_server ready;
+	struct cgw_http_server metrics;
+	struct cgw_timer housekeeping;
+	struct cgw_timer run_soon; /* runs the callers' server again */
+	struct cds_list_head connections; /* struct connection, idle longest
+					   * first */
+	unsigned int connection_count;
+	unsigned int connection_limit;
+};
+
+/* A caller's connection. libmicrohttpd does not watch a connection while its
+ * request is being handled, so this module watches for a disconnect, without
+ * reading from the socket. */
+struct connection {
+	struct cds_list_head node;
+	struct cgw_io io;
+	struct cgw_ingress *ingress;
+	struct MHD_Connection *mhd;
+	struct cgw_exchange *exchange; /* the request being handled */
+	/* Its head is not read yet; freed when libmicrohttpd reports its end,
+	 * or else with the connection. */
+	struct cgw_exchange *incomplete;
+	cg_ms last_bytes_at; /* when bytes last arrived; 0: unknown */
+	cg_ms last_completed_at; /* when a request last ended; 0: never */
+	bool suspended; /* by MHD_suspend_connection() */
+	bool caller_closed;
+	bool closing; /* no further request is read */
+};
+
+/** Returns the number of connections that is @p parts parts of the margin below
+ * the limit. */
+unsigned int cgw_ingress_margin(const struct cgw_ingress *in,
+				unsigned int parts);
+/** Returns whether no request is being read or handled on a connection. */
+bool cgw_connection_is_idle(const struct connection *c);
+/** Returns how long a request body may be, in bytes. */
+int64_t cgw_ingress_max_body(const struct cgw_gateway *g);
+/** Reads the head of a request into @p x. */
+void cgw_read_head(struct cgw_exchange *x, struct MHD_Connection *mhd,
+		   const char *method);
+/** Starts the servers for the readiness check and the metrics. Returns 0, or -1
+ * if the former cannot listen. */
+int cgw_ingress_start_status(struct cgw_ingress *in);
+
+#endif
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
+#include <sys/uio.h>
 #include <unistd.h>
 
 #include "internal/address.h"
@@ -22,7 +23,8 @@
 #define TOTAL_BYTES_DEFAULT    ((int64_t)48 * 1024 * 1024)
 /* Interim responses, and responses to other requests, before the own one. */
 #define INTERIM_MAX 8
-#define READ_SIZE	16384
+#define READ_SIZE   16384
+#define BODY_STEP   16384
 /* Status codes that HTTP defines the meaning of. */
 #define STATUS_MIN    100
 #define STATUS_MAX    599
@@ -67,6 +69,7 @@
 		g_ptr_array_unref(c->headers);
 	if (c->body)
 		g_byte_array_unref(c->body);
+	cg_memory_release(&c->memory);
 	c->headers = NULL;
 	c->body = NULL;
 	c->status = 0;
@@ -186,6 +189,19 @@
 	return c->call->head ? RESPONSE_WITHOUT_BODY : 0;
 }
 
+/* Counts the body up to @len, in steps, so that the budget is not asked for
+ * each piece. */
+static bool reserve_body(struct cgw_conn *c, int64_t len)
+{
+	struct cgw_call *call = c->call;
+	int64_t bytes = (len + BODY_STEP - 1) / BODY_STEP * BODY_STEP;
+
+	if (!call->budget || (call->memory.budget && call->memory.bytes >= len))
+		return true;
+	return cg_memory_reserve(call->budget, &call->memory, bytes,
+				 cgw_loop_now(c->client->loop));
+}
+
 static int on_body(http_parser *p, const char *at, size_t len)
 {
 	struct cgw_conn *c = p->data;
@@ -200,6 +216,13 @@
 				   : "it is too long");
 		return -1;
 	}
+	if (!reserve_body(c, c->call->body->len + (int64_t)len)) {
+		cg_info("response from %s cut off after %u bytes: no memory "
+			"for it",
+			c->address, c->call->body->len);
+		c->no_room = true;
+		return -1;
+	}
 	u->buffered += (int64_t)len;
 	c->buffered += (int64_t)len;
 	g_byte_array_append(c->call->body, (const guint8 *)at, (guint)len);
@@ -308,6 +331,12 @@
 	return c->status_digits <= STATUS_DIGITS;
 }
 
+static size_t request_length(const struct cgw_call *call)
+{
+	return call->request->len +
+	       (call->request_body ? call->request_body->len : 0);
+}
+
 /* Parses received bytes; @data is NULL at the end of the connection. Returns
  * true if the call has ended. */
 static bool parse(struct cgw_conn *c, const char *data, size_t len)
@@ -330,8 +359,9 @@
 			if (HTTP_PARSER_ERRNO(&c->parser) == HPE_OK && data)
 				return false;
 			finish_call(call,
-				    data ? CGW_CALL_MALFORMED
-					 : CGW_CALL_TRUNCATED,
+				    c->no_room ? CGW_CALL_NO_ROOM
+				    : data     ? CGW_CALL_MALFORMED
+					       : CGW_CALL_TRUNCATED,
 				    false);
 			return true;
 		}
@@ -349,7 +379,7 @@
 			 * more may follow. The server would read the unsent
 			 * rest of this request as the next one. */
 			if (n < len || !http_should_keep_alive(&c->parser) ||
-			    c->out_pos < call->request->len)
+			    c->out_pos < request_length(call))
 				c->no_reuse = true;
 			/* A copy of it would have no id either. */
 			if (is_unidentified(call)) {
@@ -415,14 +445,34 @@
 	} while (n == (ssize_t)sizeof(read_buffer));
 }
 
+/* Sends from the head and the body, which are not copied into one block. */
+static ssize_t send_rest(const struct cgw_conn *c)
+{
+	const struct cgw_call *call = c->call;
+	size_t head = call->request->len;
+	struct iovec parts[2];
+	struct msghdr m = { .msg_iov = parts };
+
+	if (c->out_pos < head) {
+		parts[m.msg_iovlen].iov_base = call->request->data + c->out_pos;
+		parts[m.msg_iovlen++].iov_len = head - c->out_pos;
+	}
+	if (call->request_body) {
+		size_t at = c->out_pos > head ? c->out_pos - head : 0;
+
+		parts[m.msg_iovlen].iov_base = call->request_body->data + at;
+		parts[m.msg_iovlen++].iov_len = call->request_body->len - at;
+	}
+	return sendmsg(c->io.fd, &m, MSG_NOSIGNAL);
+}
+
 /* Returns -1 if the call has ended. */
 static int write_request(struct cgw_conn *c)
 {
 	struct cgw_call *call = c->call;
 
-	while (c->out_pos < call->request->len) {
-		ssize_t n = send(c->io.fd, call->request->data + c->out_pos,
-				 call->request->len - c->out_pos, MSG_NOSIGNAL);
+	while (c->out_pos < request_length(call)) {
+		ssize_t n = send_rest(c);
 
 		if (n > 0) {
 			call->sent = true;
@@ -549,6 +599,7 @@
 	cgw_pool_record_id(c, call);
 	c->out_pos = 0;
 	c->response_started = false;
+	c->no_room = false;
 	reset_response(c);
 	if (!c->connected) {
 		cgw_timer_arm(u->loop, &call->timer,
--- a/src/gateway/upstream_private.h
+++ b/src/gateway/upstream_private.h
@@ -28,6 +28,7 @@
 	bool complete; /* a whole response has been parsed */
 	bool response_started; /* at least one byte has been received */
 	bool no_reuse;
+	bool no_room; /* for the body of the response */
 	enum {
 		STATUS_BEFORE, /* in the protocol version */
 		STATUS_WITHIN,
