Test the memory of single requests; continue reads and writes at once

Cause: libmicrohttpd is run up to eight times per event, and its epoll descriptor does not report again what it has seen and not finished. The rest waited for the next second: 128 kB/s for a response in blocks (measured with strace: eight sends of 16 KiB, then 1.0 s), and 64 MiB that had arrived were not read within 10 s. Change: the server continues in the next step of the loop.

--- a/src/gateway/http_server.c
+++ b/src/gateway/http_server.c
@@ -20,6 +20,14 @@
 		    timeout_ms > 0)
 			return;
 	}
+	/* libmicrohttpd has read the events of its descriptors, and would get
+	 * no further one for bytes that it has not read or sent yet. */
+	cgw_timer_arm(s->loop, &s->again, cgw_loop_now(s->loop));
+}
+
+static void on_again(struct cgw_timer *t)
+{
+	cgw_http_server_run(caa_container_of(t, struct cgw_http_server, again));
 }
 
 static void on_server_ready(struct cgw_io *io, uint32_t events)
@@ -46,6 +54,8 @@
 	info = MHD_get_daemon_info(s->daemon, MHD_DAEMON_INFO_EPOLL_FD);
 	if (!info)
 		return -1;
+	s->loop = l;
+	s->again.fire = on_again;
 	s->io.fd = info->epoll_fd;
 	s->io.ready = on_server_ready;
 	return cgw_loop_add(l, &s->io, EPOLLIN);
@@ -69,8 +79,10 @@
 {
 	if (!s->daemon)
 		return;
-	if (s->io.ready)
+	if (s->io.ready) {
 		cgw_loop_del(l, &s->io);
+		cgw_timer_cancel(l, &s->again);
+	}
 	MHD_stop_daemon(s->daemon);
 	s->daemon = NULL;
 }
--- a/src/gateway/http_server.h
+++ b/src/gateway/http_server.h
@@ -15,6 +15,8 @@
 
 struct cgw_http_server {
 	struct cgw_io io;
+	struct cgw_loop *loop;
+	struct cgw_timer again; /**< Continues after other descriptors. */
 	struct MHD_Daemon *daemon; /**< NULL unless it runs. */
 };
 
--- a/tests/support/gateway_fleet.c
+++ b/tests/support/gateway_fleet.c
@@ -52,15 +52,16 @@
 		g_snprintf(cpu_share, sizeof(cpu_share), "\"cpu_share\": %g,",
 			   f->cpu_share[i]);
 	text = g_strdup_printf(
-		"{ %s \"instance\": \"d%u\", \"domain\": \"%s\","
+		"{ %s %s \"instance\": \"d%u\", \"domain\": \"%s\","
 		" \"address\": \"%s\", \"domains\": [\"a\", \"b\"],"
 		" \"listen\": \"%s:%u\", \"ready\": \"%s:%u\","
 		" \"peer_port\": %u, \"store\": \"127.0.0.1:%u\","
 		" \"retry_slack\": 40, \"key_proof_ms\": 3000,"
 		" \"grace_ms\": 6000, /* comments are allowed */"
 		" \"log_level\": \"info\" }",
-		cpu_share, i, domain_index(f, i) ? "b" : "a", ip, ip, f->ports,
-		ip, f->ports + 1, f->ports + 2, objects_port(f->store));
+		cpu_share, f->settings ? f->settings : "", i,
+		domain_index(f, i) ? "b" : "a", ip, ip, f->ports, ip,
+		f->ports + 1, f->ports + 2, objects_port(f->store));
 	assert_true(g_file_set_contents(path, text, -1, NULL));
 	g_free(text);
 	g_free(path);
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -28,6 +28,9 @@
 	unsigned int max_body_bytes;
 	/** Settings of the daemons from their next start on; 0: left out. */
 	double cpu_share[GF_DAEMONS];
+	/** Further members of the settings files that are written from now on,
+	 * each with a comma after it; NULL: none. */
+	const char *settings;
 	/** Limit of a daemon's descriptors from its next start on; 0: the
 	 * test's own. */
 	unsigned int descriptors[GF_DAEMONS];
