--- a/tests/test_gateway_settings.c
+++ b/tests/test_gateway_settings.c
@@ -45,6 +45,9 @@
 	assert_int_equal(s.grace_ms, 6000);
 	assert_int_equal(s.server_heartbeat_ms, 1500);
 	assert_int_equal(s.descriptors_max, 65536);
+	assert_int_equal(s.memory_max_mb, 160);
+	assert_int_equal(s.body_stall_ms, 0);
+	assert_int_equal(s.response_stall_ms, 0);
 	assert_string_equal(s.log_level, "info");
 	cgw_settings_clear(&s);
 }
@@ -60,12 +63,14 @@
 			      "\"retry_window_ms\":10000,\"key_proof_ms\":3000,"
 			      "\"grace_ms\":9000,\"log_level\":\"debug\","
 			      "\"server_heartbeat_ms\":400,"
+			      "\"memory_max_mb\":512,"
 			      "\"metrics_port\":9464}",
 			      &s, &f),
 			 0);
 	assert_true(s.retry_ratio > 0.24 && s.retry_ratio < 0.26);
 	assert_int_equal(s.retry_slack, 56);
 	assert_int_equal(s.metrics_port, 9464);
+	assert_int_equal(s.memory_max_mb, 512);
 	assert_string_equal(s.log_level, "debug");
 	cgw_settings_clear(&s);
 }
@@ -81,6 +86,11 @@
 		"{" REQUIRED ",\"min_share\":1.5}",
 		"{" REQUIRED ",\"seeds\":[5]}",
 		"{" REQUIRED ",\"grace_ms\":1}",
+		"{" REQUIRED ",\"memory_max_mb\":63}",
+		"{" REQUIRED ",\"memory_max_mb\":65537}",
+		"{" REQUIRED ",\"memory_max_mb\":\"much\"}",
+		"{" REQUIRED ",\"body_stall_ms\":999}",
+		"{" REQUIRED ",\"response_stall_ms\":3600001}",
 	};
 
 	(void)state;
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -72,6 +72,8 @@
 	assert_int_equal(x->s.http_threads, 4);
 	assert_int_equal(x->s.max_connections, 4000);
 	assert_int_equal(x->s.max_body_bytes, 1048576);
+	assert_int_equal(x->s.memory_max_mb, 160);
+	assert_int_equal(x->s.body_stall_ms, 75000);
 	assert_int_equal(x->s.request_head_max_bytes, 30720);
 	assert_int_equal(x->s.response_head_max_bytes, 23552);
 	assert_int_equal(x->s.gossip_ms, 500);
@@ -120,6 +122,7 @@
 		     "\"seeds\": [\"127.0.0.1:1\", 7, \"127.0.0.1:1\"],"
 		     "\"log_level\": \"loud\", \"log_json\": 1,"
 		     "\"gossip_ms\": 0, \"http_threads\": 65,"
+		     "\"memory_max_mb\": 63,"
 		     "\"max_body_bytes\": \"1\", \"gosip_ms\": 5}"),
 		-1);
 	assert_true(has_fault(&x->f, "instance must be a name"));
@@ -138,7 +141,8 @@
 	assert_true(has_fault(&x->f, "http_threads must be from 1 to 64"));
 	assert_true(has_fault(&x->f, "max_body_bytes must be of type int"));
 	assert_true(has_fault(&x->f, "unknown setting \"gosip_ms\""));
-	assert_int_equal(x->f.n, 16);
+	assert_true(has_fault(&x->f, "memory_max_mb must be from 64"));
+	assert_int_equal(x->f.n, 17);
 	assert_non_null(strstr(x->f.lines[0], "settings.json: "));
 }
 
