Keep large bodies in pages of their own

Cause: under AddressSanitizer two of the crowd tests peaked at 397 and 413 MiB of 320: it keeps up to 256 MiB of freed heap blocks. Change: bodies above 64 KiB are mapped (buffer.c), for both programs, which also makes them independent of the allocator's threshold. Result: test_request_body, test_forward and test_gateway_upstream pass; the crowd tests follow.

--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,7 @@
 # The files outside src/gateway that the gateway needs. Linking no others keeps
 # unused libraries out of the gateway, which runs on each machine: its memory
 # matters.
-GATEWAY_BASE := src/base/address.c src/base/clock.c src/base/counters.c src/base/http_text.c src/base/jsonc.c src/base/logging.c src/base/memory_budget.c src/base/outcome.c \
+GATEWAY_BASE := src/base/address.c src/base/buffer.c src/base/clock.c src/base/counters.c src/base/http_text.c src/base/jsonc.c src/base/logging.c src/base/memory_budget.c src/base/outcome.c \
 	src/control/rate_bucket.c src/base/names.c src/rpc/gen/fleet_wire_xdr.c
 GATEWAY_LIBS := $(shell pkg-config --libs libmicrohttpd libtirpc glib-2.0 json-c libxxhash 2>/dev/null) -lhttp_parser -lm
 
--- a/include/gateway/body.h
+++ b/include/gateway/body.h
@@ -11,9 +11,8 @@
 
 /** Zeroed: empty. */
 struct cgw_body {
-	GPtrArray *blocks;
+	GPtrArray *blocks; /**< struct cg_buffer. */
 	size_t len;
-	size_t capacity; /**< Of the first block, the only one that grows. */
 };
 
 /** Adds to the end. @p expected is the length of the whole body; 0: unknown. */
--- a/include/internal/request.h
+++ b/include/internal/request.h
@@ -9,6 +9,7 @@
 #include <pthread.h>
 #include <stdatomic.h>
 
+#include "celeryglade/buffer.h"
 #include "celeryglade/config.h"
 #include "celeryglade/fair_queue.h"
 #include "celeryglade/memory_budget.h"
@@ -66,12 +67,12 @@
 	size_t head_bytes; /**< Memory that a copy of the head takes. */
 	bool has_body;
 	bool crowded; /**< The connection closes after the response. */
-	bool body_declared; /**< Its length was known at first. */
+	size_t body_length; /**< As declared; 0: unknown. */
 	bool answered_early; /**< Refused before its body was read. */
 	uint64_t body_received; /**< Bytes of the body, kept or not. */
 	/** While the request is read, body, memory and no_room are protected by
 	 * the lock of the memory budget. */
-	GByteArray *body;
+	struct cg_buffer body;
 	struct cg_memory_item memory; /**< Of head and body. */
 	bool no_room; /**< The body was not kept for lack of memory. */
 	enum cg_reason input_fault; /**< Error found while reading, or CG_OK. */
--- a/src/gateway/body.c
+++ b/src/gateway/body.c
@@ -2,36 +2,32 @@
 
 #include <string.h>
 
-/* Larger than glibc's threshold for blocks of their own. */
-#define BLOCK	    ((size_t)256 * 1024)
-#define FIRST_BLOCK ((size_t)4 * 1024)
+#include "celeryglade/buffer.h"
 
-/* Makes the first block hold at least @need bytes, which is at most a block. */
-static void grow_first(struct cgw_body *b, size_t need, size_t expected)
-{
-	size_t capacity = MAX(b->capacity * 2, MAX(need, expected));
+#define BLOCK ((size_t)256 * 1024)
 
-	if (need <= b->capacity)
-		return;
-	b->capacity = CLAMP(capacity, FIRST_BLOCK, BLOCK);
-	b->blocks->pdata[0] = g_realloc(b->blocks->pdata[0], b->capacity);
+static void free_block(void *block)
+{
+	cg_buffer_clear(block);
+	g_free(block);
 }
 
 void cgw_body_append(struct cgw_body *b, const char *data, size_t len,
 		     size_t expected)
 {
 	if (!b->blocks)
-		b->blocks = g_ptr_array_new_with_free_func(g_free);
+		b->blocks = g_ptr_array_new_with_free_func(free_block);
 	while (len) {
 		size_t i = b->len / BLOCK;
 		size_t at = b->len % BLOCK;
 		size_t n = MIN(len, BLOCK - at);
+		size_t whole = expected > i * BLOCK
+				       ? MIN(expected - i * BLOCK, BLOCK)
+				       : 0;
 
 		if (i == b->blocks->len)
-			g_ptr_array_add(b->blocks, i ? g_malloc(BLOCK) : NULL);
-		if (!i)
-			grow_first(b, at + n, expected);
-		memcpy((char *)b->blocks->pdata[i] + at, data, n);
+			g_ptr_array_add(b->blocks, g_new0(struct cg_buffer, 1));
+		cg_buffer_append(b->blocks->pdata[i], data, n, whole, BLOCK);
 		b->len += n;
 		data += n;
 		len -= n;
@@ -51,10 +47,11 @@
 	size_t n = 0;
 
 	while (pos < b->len && n < max) {
+		const struct cg_buffer *block = b->blocks->pdata[pos / BLOCK];
 		size_t at = pos % BLOCK;
 
-		out[n].iov_base = (char *)b->blocks->pdata[pos / BLOCK] + at;
-		out[n].iov_len = MIN(BLOCK - at, b->len - pos);
+		out[n].iov_base = block->data + at;
+		out[n].iov_len = block->len - at;
 		pos += out[n++].iov_len;
 	}
 	return n;
--- a/src/request/claims.c
+++ b/src/request/claims.c
@@ -74,7 +74,7 @@
 		   strlen(r->idempotency_key));
 	g_snprintf(c->object, sizeof(c->object), "claims/%s", name);
 	digest_hex(c->request_digest, r->target, strlen(r->target),
-		   r->body->data, r->body->len);
+		   r->body.data, r->body.len);
 	for (int i = 0; i < 4; i++)
 		g_snprintf(c->creator_id + 8 * i, 9, "%08x", g_random_int());
 	return c;
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -249,9 +249,8 @@
 	ne_set_connect_timeout(conn->session, round_up_to_seconds(timeout));
 	ne_set_request_flag(req, NE_REQFLAG_IDEMPOTENT, r->route->idempotent);
 	add_headers(req, r, attempt_id, time_remaining);
-	if (r->body->len > 0)
-		ne_set_request_body_buffer(req, (char *)r->body->data,
-					   r->body->len);
+	if (r->body.len > 0)
+		ne_set_request_body_buffer(req, r->body.data, r->body.len);
 	exchange(conn, req, r, attempt_id, reused, out);
 	ne_request_destroy(req);
 	if (reused && conn->connect_count > 0)
--- a/src/request/request.c
+++ b/src/request/request.c
@@ -57,7 +57,6 @@
 	r->target = g_strdup(target);
 	r->path = path_of_target(target);
 	r->headers = cg_headers_new();
-	r->body = g_byte_array_new();
 	for (int i = 0; i < 4; i++)
 		id[i] = g_random_int();
 	g_snprintf(r->id, sizeof(r->id), "%08x%08x%08x%08x", id[0], id[1],
@@ -92,7 +91,6 @@
 		cg_config_unref(r->config);
 	g_array_unref(r->headers);
 	cg_request_memory_drop(r);
-	g_byte_array_unref(r->body);
 	wipe_and_free(r->api_key);
 	g_free(r->idempotency_key);
 	g_free(r->method_text);
--- a/src/request/request_memory.c
+++ b/src/request/request_memory.c
@@ -40,8 +40,7 @@
 /* The lock is held. */
 static void drop_body(struct cg_request *r)
 {
-	g_byte_array_unref(r->body);
-	r->body = g_byte_array_new();
+	cg_buffer_clear(&r->body);
 	cg_memory_release(&r->memory);
 }
 
@@ -74,30 +73,12 @@
 
 	pthread_mutex_lock(&r->proxy->memory.lock);
 	ok = reserve(r, body);
-	if (ok && body > 0) {
-		g_byte_array_unref(r->body);
-		r->body = g_byte_array_sized_new((guint)body);
-		r->body_declared = true;
-	}
+	if (ok)
+		r->body_length = (size_t)body;
 	pthread_mutex_unlock(&r->proxy->memory.lock);
 	return ok;
 }
 
-/* A body of unknown length above a step is given the capacity of the longest one,
- * so that it is not copied as it grows. Pages that are not written take no
- * memory. */
-static void presize_body(struct cg_request *r, int64_t length)
-{
-	GByteArray *b;
-
-	if (r->body_declared || r->body->len > BODY_STEP || length <= BODY_STEP)
-		return;
-	b = g_byte_array_sized_new(r->proxy->settings->max_body_bytes);
-	g_byte_array_append(b, r->body->data, r->body->len);
-	g_byte_array_unref(r->body);
-	r->body = b;
-}
-
 void cg_request_memory_append(struct cg_request *r, const char *data,
 			      size_t len)
 {
@@ -105,7 +86,7 @@
 	int64_t length;
 
 	pthread_mutex_lock(&p->memory.lock);
-	length = (int64_t)(r->body->len + len);
+	length = (int64_t)(r->body.len + len);
 	if (!r->no_room &&
 	    length + 2 * (int64_t)r->head_bytes > r->memory.bytes &&
 	    !reserve(r, length + BODY_STEP)) {
@@ -113,8 +94,8 @@
 		drop_body(r);
 	}
 	if (!r->no_room) {
-		presize_body(r, length);
-		g_byte_array_append(r->body, (const guint8 *)data, (guint)len);
+		cg_buffer_append(&r->body, data, len, r->body_length,
+				 p->settings->max_body_bytes);
 		cg_memory_progress(&r->memory, (int64_t)len,
 				   cg_clock_now(p->clk));
 	}
