--- a/include/celeryglade/counters.h
+++ b/include/celeryglade/counters.h
@@ -66,7 +66,10 @@
 	X(WORK_SAMPLES_CLIPPED, "work_samples_clipped")                        \
 	X(WORK_KEYS_ADDED, "work_keys_added")                                  \
 	X(WORK_KEYS_REPLACED, "work_keys_replaced")                            \
-	X(WORK_SUMMARIES_READ, "work_summaries_read")
+	X(WORK_SUMMARIES_READ, "work_summaries_read")                          \
+	X(BODIES_EVICTED, "bodies_evicted")                                    \
+	X(BODIES_STALLED, "bodies_stalled")                                    \
+	X(RESPONSES_STALLED, "responses_stalled")
 
 /** The counters of CG_COUNTERS, then one for each reason of a refusal, then one
  * for each retry reason. */
--- a/include/gateway/gateway_settings.h
+++ b/include/gateway/gateway_settings.h
@@ -65,6 +65,13 @@
 	 * + warmup_slack requests in one second; warmup_burst 0: no limit. */
 	double warmup_burst;
 	double warmup_slack;
+	/** Memory of the process in MiB. */
+	int64_t memory_max_mb;
+	/** Time without a byte after which a request body, or a response that
+	 * its caller does not read, is ended; 0: the idle timeout of the
+	 * configuration. */
+	cg_ms body_stall_ms;
+	cg_ms response_stall_ms;
 	double min_share; /**< Share of a service's servers never ejected. */
 	enum cgw_placement placement;
 	enum cgw_admission admission;
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -1,26 +1,20 @@
 #define CG_PART "upstream"
-#include "gateway/upstream.h"
+#include "upstream_private.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
-#include <http_parser.h>
+#include <limits.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
+#include <sys/uio.h>
 #include <unistd.h>
 
 #include "internal/address.h"
 #include "internal/logging.h"
 
-/* Idle connections kept for an address. A daemon rarely has more concurrent
- * calls to one address. */
-#define MAX_IDLE_PER_ADDRESS 4
-/* Idle connections are closed after this time, before the backend servers close
- * them after 10 s. */
-#define IDLE_LIMIT_MS 8000
-#define SWEEP_MS      1000
 /* A connection is closed this long before the timeout that the server announced
  * in its Keep-Alive header. */
 #define KEEP_ALIVE_MARGIN_MS 1500
@@ -30,155 +24,22 @@
 #define TOTAL_BYTES_DEFAULT    ((int64_t)48 * 1024 * 1024)
 /* Interim responses, and responses to other requests, before the own one. */
 #define INTERIM_MAX 8
-/* Requests after which a connection may carry the same id again. A copy of a
- * response arrives soon after it, if at all. */
-#define RECENT_IDS 8
-/* After a response without an id, connections to its server are not reused for
- * this time: on a new connection such a response is known to be the own one. */
-#define UNIDENTIFIED_MS 30000
-#define READ_SIZE	16384
+#define READ_SIZE   16384
+#define BODY_STEP   16384
+#define PARTS_MAX   8 /* sent with one call */
 /* Status codes that HTTP defines the meaning of. */
 #define STATUS_MIN    100
 #define STATUS_MAX    599
 #define STATUS_DIGITS 3
 
-struct cgw_conn {
-	struct cgw_io io;
-	struct cgw_upstream *client;
-	struct cgw_call *call; /* NULL while the connection is idle */
-	struct cds_list_head node; /* in the idle list of its address */
-	char address[64];
-	http_parser parser;
-	GString *name;
-	GString *value;
-	bool in_value;
-	bool connected;
-	bool head_complete; /* what follows are trailer fields */
-	bool complete; /* a whole response has been parsed */
-	bool response_started; /* at least one byte has been received */
-	bool no_reuse;
-	enum {
-		STATUS_BEFORE, /* in the protocol version */
-		STATUS_WITHIN,
-		STATUS_READ
-	} status_state;
-	unsigned int status_digits; /* of the present response */
-	size_t out_pos;
-	int64_t buffered; /* bytes of the present body */
-	cg_ms last_used;
-	cg_ms keep_alive_ms; /* from the Keep-Alive header; 0: none */
-	guint recent_ids[RECENT_IDS]; /* hashes of the ids sent last */
-	unsigned int ids_sent;
-};
-
-struct idle_list {
-	struct cds_list_head head;
-	unsigned int n;
-};
-
-struct cgw_upstream {
-	struct cgw_loop *loop;
-	GHashTable *idle; /* address to struct idle_list */
-	/* Address to the time until which connections are not reused. */
-	GHashTable *unidentified;
-	struct cgw_timer sweep;
-	uint64_t opened;
-	int64_t response_max, total_max; /* bytes */
-	int64_t buffered; /* bytes of the bodies that are being read */
-};
-
 static char read_buffer[READ_SIZE];
 
-static void conn_free(struct cgw_conn *c)
-{
-	if (c->io.fd >= 0) {
-		cgw_loop_del(c->client->loop, &c->io);
-		close(c->io.fd);
-	}
-	g_string_free(c->name, TRUE);
-	g_string_free(c->value, TRUE);
-	g_free(c);
-}
-
-static struct idle_list *idle_of(struct cgw_upstream *u, const char *address)
-{
-	struct idle_list *l = g_hash_table_lookup(u->idle, address);
-
-	if (l)
-		return l;
-	l = g_new0(struct idle_list, 1);
-	CDS_INIT_LIST_HEAD(&l->head);
-	g_hash_table_insert(u->idle, g_strdup(address), l);
-	return l;
-}
-
-static void idle_remove(struct cgw_conn *c)
-{
-	cds_list_del(&c->node);
-	idle_of(c->client, c->address)->n--;
-}
-
-static void close_idle_list(struct idle_list *l)
-{
-	struct cgw_conn *c, *next;
-
-	cds_list_for_each_entry_safe(c, next, &l->head, node) {
-		cds_list_del(&c->node);
-		conn_free(c);
-	}
-	l->n = 0;
-}
-
-static cg_ms idle_limit_ms(const struct cgw_conn *c)
-{
-	return c->keep_alive_ms > 0 && c->keep_alive_ms < IDLE_LIMIT_MS
-		       ? c->keep_alive_ms
-		       : IDLE_LIMIT_MS;
-}
-
-static void sweep(struct cgw_timer *t)
-{
-	struct cgw_upstream *u =
-		caa_container_of(t, struct cgw_upstream, sweep);
-	cg_ms now = cgw_loop_now(u->loop);
-	GHashTableIter it;
-	gpointer value;
-
-	g_hash_table_iter_init(&it, u->idle);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		struct idle_list *l = value;
-		struct cgw_conn *c, *next;
-
-		cds_list_for_each_entry_safe(c, next, &l->head, node) {
-			if (now - c->last_used < idle_limit_ms(c))
-				continue;
-			cds_list_del(&c->node);
-			l->n--;
-			conn_free(c);
-		}
-		if (!l->n)
-			g_hash_table_iter_remove(&it);
-	}
-	if (g_hash_table_size(u->idle))
-		cgw_timer_arm(u->loop, t, now + SWEEP_MS);
-}
-
-static void free_idle_list(void *p)
-{
-	close_idle_list(p);
-	g_free(p);
-}
-
 struct cgw_upstream *cgw_upstream_new(struct cgw_loop *l)
 {
 	struct cgw_upstream *u = g_new0(struct cgw_upstream, 1);
 
 	u->loop = l;
-	u->idle = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					free_idle_list);
-	u->unidentified =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	u->sweep.fire = sweep;
+	cgw_pool_init(u);
 	u->response_max = RESPONSE_BYTES_DEFAULT;
 	u->total_max = TOTAL_BYTES_DEFAULT;
 	return u;
@@ -195,17 +56,10 @@
 {
 	if (!u)
 		return;
-	cgw_timer_cancel(u->loop, &u->sweep);
-	g_hash_table_unref(u->idle);
-	g_hash_table_unref(u->unidentified);
+	cgw_pool_clear(u);
 	g_free(u);
 }
 
-void cgw_upstream_close_idle(struct cgw_upstream *u, const char *address)
-{
-	g_hash_table_remove(u->idle, address);
-}
-
 uint64_t cgw_upstream_connections_opened(const struct cgw_upstream *u)
 {
 	return u->opened;
@@ -217,6 +71,7 @@
 		g_ptr_array_unref(c->headers);
 	if (c->body)
 		g_byte_array_unref(c->body);
+	cg_memory_release(&c->memory);
 	c->headers = NULL;
 	c->body = NULL;
 	c->status = 0;
@@ -246,25 +101,16 @@
 static void release_conn(struct cgw_call *call, bool keep)
 {
 	struct cgw_conn *c = call->conn;
-	struct idle_list *l;
 
 	call->conn = NULL;
 	if (!c)
 		return;
 	forget_body(c);
 	c->call = NULL;
-	if (!keep || c->no_reuse ||
-	    (l = idle_of(c->client, c->address))->n >= MAX_IDLE_PER_ADDRESS) {
-		conn_free(c);
-		return;
-	}
-	c->last_used = cgw_loop_now(c->client->loop);
-	cds_list_add(&c->node, &l->head);
-	l->n++;
-	cgw_loop_change(c->client->loop, &c->io, EPOLLIN | EPOLLRDHUP);
-	if (!c->client->sweep.heap_index)
-		cgw_timer_arm(c->client->loop, &c->client->sweep,
-			      c->last_used + SWEEP_MS);
+	if (keep)
+		cgw_pool_put(c);
+	else
+		cgw_conn_free(c);
 }
 
 static void finish_call(struct cgw_call *call, enum cgw_call_outcome outcome,
@@ -345,6 +191,32 @@
 	return c->call->head ? RESPONSE_WITHOUT_BODY : 0;
 }
 
+/* Counts the body up to @len, in steps, so that the budget is not asked for
+ * each piece. */
+static bool reserve_body(struct cgw_conn *c, int64_t len)
+{
+	struct cgw_call *call = c->call;
+	int64_t bytes = (len + BODY_STEP - 1) / BODY_STEP * BODY_STEP;
+
+	if (!call->budget || (call->memory.budget && call->memory.bytes >= len))
+		return true;
+	return cg_memory_reserve(call->budget, &call->memory, bytes,
+				 cgw_loop_now(c->client->loop));
+}
+
+/* Allocates a body of known length once, so that it is not copied as it grows.
+ * Pages that are not written take no memory. */
+static void presize_body(struct cgw_conn *c, size_t first)
+{
+	uint64_t length = c->parser.content_length; /* what is missing */
+
+	if (c->call->body->len || length == ULLONG_MAX ||
+	    length > (uint64_t)c->client->response_max)
+		return;
+	g_byte_array_unref(c->call->body);
+	c->call->body = g_byte_array_sized_new((guint)(length + first));
+}
+
 static int on_body(http_parser *p, const char *at, size_t len)
 {
 	struct cgw_conn *c = p->data;
@@ -359,6 +231,14 @@
 				   : "it is too long");
 		return -1;
 	}
+	if (!reserve_body(c, c->call->body->len + (int64_t)len)) {
+		cg_info("response from %s cut off after %u bytes: no memory "
+			"for it",
+			c->address, c->call->body->len);
+		c->no_room = true;
+		return -1;
+	}
+	presize_body(c, len);
 	u->buffered += (int64_t)len;
 	c->buffered += (int64_t)len;
 	g_byte_array_append(c->call->body, (const guint8 *)at, (guint)len);
@@ -417,53 +297,11 @@
 	return status >= 300 && !call->reused;
 }
 
-/* Returns whether @call's id was recently sent on the connection: a copy of that
- * response could not be told from the response to @call. */
-static bool has_sent_id(const struct cgw_conn *c, const struct cgw_call *call)
-{
-	guint hash;
-
-	if (!call->id_header)
-		return false;
-	hash = g_str_hash(call->id);
-	for (unsigned int i = 0; i < MIN(c->ids_sent, RECENT_IDS); i++)
-		if (c->recent_ids[i] == hash)
-			return true;
-	return false;
-}
-
-static void record_id(struct cgw_conn *c, const struct cgw_call *call)
-{
-	if (call->id_header)
-		c->recent_ids[c->ids_sent++ % RECENT_IDS] =
-			g_str_hash(call->id);
-}
-
 static bool is_unidentified(const struct cgw_call *call)
 {
 	return call->id_header && !cgw_call_header(call, call->id_header);
 }
 
-static void record_unidentified(struct cgw_conn *c)
-{
-	cg_ms until = cgw_loop_now(c->client->loop) + UNIDENTIFIED_MS;
-
-	g_hash_table_replace(c->client->unidentified, g_strdup(c->address),
-			     g_memdup2(&until, sizeof(until)));
-}
-
-/* Returns whether responses from @address may come without an id. */
-static bool omits_ids(struct cgw_upstream *u, const char *address)
-{
-	const cg_ms *until = g_hash_table_lookup(u->unidentified, address);
-
-	if (until && *until > cgw_loop_now(u->loop))
-		return true;
-	if (until)
-		g_hash_table_remove(u->unidentified, address);
-	return false;
-}
-
 /* An error without an id on a reused connection is a copy or the server's only
  * response. Waits for the own response for a limited time. */
 static void limit_wait(struct cgw_conn *c)
@@ -472,7 +310,7 @@
 	cg_ms until =
 		cgw_loop_now(c->client->loop) + call->unidentified_wait_ms;
 
-	record_unidentified(c);
+	cgw_pool_record_unidentified(c);
 	if (until < call->timer.expires_at)
 		cgw_timer_arm(c->client->loop, &call->timer, until);
 }
@@ -509,6 +347,12 @@
 	return c->status_digits <= STATUS_DIGITS;
 }
 
+static size_t request_length(const struct cgw_call *call)
+{
+	return call->request->len +
+	       (call->request_body ? call->request_body->len : 0);
+}
+
 /* Parses received bytes; @data is NULL at the end of the connection. Returns
  * true if the call has ended. */
 static bool parse(struct cgw_conn *c, const char *data, size_t len)
@@ -531,8 +375,9 @@
 			if (HTTP_PARSER_ERRNO(&c->parser) == HPE_OK && data)
 				return false;
 			finish_call(call,
-				    data ? CGW_CALL_MALFORMED
-					 : CGW_CALL_TRUNCATED,
+				    c->no_room ? CGW_CALL_NO_ROOM
+				    : data     ? CGW_CALL_MALFORMED
+					       : CGW_CALL_TRUNCATED,
 				    false);
 			return true;
 		}
@@ -550,12 +395,12 @@
 			 * more may follow. The server would read the unsent
 			 * rest of this request as the next one. */
 			if (n < len || !http_should_keep_alive(&c->parser) ||
-			    c->out_pos < call->request->len)
+			    c->out_pos < request_length(call))
 				c->no_reuse = true;
 			/* A copy of it would have no id either. */
 			if (is_unidentified(call)) {
 				c->no_reuse = true;
-				record_unidentified(c);
+				cgw_pool_record_unidentified(c);
 			}
 			update_keep_alive(c);
 			finish_call(call, CGW_CALL_RESPONDED, data != NULL);
@@ -616,14 +461,34 @@
 	} while (n == (ssize_t)sizeof(read_buffer));
 }
 
+/* Sends from the head and the body, which are not copied into one block. */
+static ssize_t send_rest(const struct cgw_conn *c)
+{
+	const struct cgw_call *call = c->call;
+	size_t head = call->request->len;
+	struct iovec parts[PARTS_MAX];
+	struct msghdr m = { .msg_iov = parts };
+
+	if (c->out_pos < head) {
+		parts[0].iov_base = call->request->data + c->out_pos;
+		parts[0].iov_len = head - c->out_pos;
+		m.msg_iovlen = 1;
+	}
+	if (call->request_body)
+		m.msg_iovlen += cgw_body_parts(
+			call->request_body,
+			c->out_pos > head ? c->out_pos - head : 0,
+			parts + m.msg_iovlen, PARTS_MAX - m.msg_iovlen);
+	return sendmsg(c->io.fd, &m, MSG_NOSIGNAL);
+}
+
 /* Returns -1 if the call has ended. */
 static int write_request(struct cgw_conn *c)
 {
 	struct cgw_call *call = c->call;
 
-	while (c->out_pos < call->request->len) {
-		ssize_t n = send(c->io.fd, call->request->data + c->out_pos,
-				 call->request->len - c->out_pos, MSG_NOSIGNAL);
+	while (c->out_pos < request_length(call)) {
+		ssize_t n = send_rest(c);
 
 		if (n > 0) {
 			call->sent = true;
@@ -655,8 +520,8 @@
 		/* Data received on an idle connection belongs to no later
 		 * request, so the connection is closed, as after a
 		 * disconnect. */
-		idle_remove(c);
-		conn_free(c);
+		cgw_pool_remove(c);
+		cgw_conn_free(c);
 		return;
 	}
 	if (!c->connected) {
@@ -717,37 +582,6 @@
 	return -1;
 }
 
-static bool has_no_input(const struct cgw_conn *c)
-{
-	char byte;
-
-	return recv(c->io.fd, &byte, 1, MSG_PEEK) < 0 && errno == EAGAIN;
-}
-
-/* Removes and returns the most recently used idle connection, which is the
- * least likely to be dead. Returns NULL if none can be reused. */
-static struct cgw_conn *pop_idle(struct cgw_upstream *u,
-				 const struct cgw_call *call)
-{
-	struct idle_list *l = g_hash_table_lookup(u->idle, call->address);
-	cg_ms now = cgw_loop_now(u->loop);
-	struct cgw_conn *c, *next;
-
-	if (!l || (call->id_header && omits_ids(u, call->address)))
-		return NULL;
-	cds_list_for_each_entry_safe(c, next, &l->head, node) {
-		if (now - c->last_used >= MIN(call->reuse_ms, idle_limit_ms(c)))
-			return NULL;
-		if (has_sent_id(c, call))
-			continue;
-		idle_remove(c);
-		if (has_no_input(c))
-			return c;
-		conn_free(c);
-	}
-	return NULL;
-}
-
 void cgw_call_start(struct cgw_upstream *u, struct cgw_call *call)
 {
 	cg_ms now = cgw_loop_now(u->loop);
@@ -757,7 +591,7 @@
 	call->timer.fire = on_timer;
 	call->sent = false;
 	call->interim = 0;
-	c = pop_idle(u, call);
+	c = cgw_pool_take(u, call);
 	call->reused = c != NULL;
 	if (!c) {
 		c = g_new0(struct cgw_conn, 1);
@@ -771,16 +605,17 @@
 		if (open_socket(c)) {
 			cg_warning("cannot connect to %s: %s", call->address,
 				   g_strerror(errno));
-			conn_free(c);
+			cgw_conn_free(c);
 			cgw_timer_arm(u->loop, &call->timer, now);
 			return;
 		}
 	}
 	c->call = call;
 	call->conn = c;
-	record_id(c, call);
+	cgw_pool_record_id(c, call);
 	c->out_pos = 0;
 	c->response_started = false;
+	c->no_room = false;
 	reset_response(c);
 	if (!c->connected) {
 		cgw_timer_arm(u->loop, &call->timer,
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -29,6 +29,9 @@
 	/** Settings of the daemons from their next start on; 0: left out. */
 	double cpu_share[GF_DAEMONS];
 	unsigned int evacuation_bound_ms; /**< Of all daemons. */
+	/** Further members of the settings files that are written from now on,
+	 * each with a comma after it; NULL: none. */
+	const char *settings;
 	/** Limit of a daemon's descriptors from its next start on; 0: the
 	 * test's own. */
 	unsigned int descriptors[GF_DAEMONS];
--- a/tests/test_gateway_settings.c
+++ b/tests/test_gateway_settings.c
@@ -47,6 +47,9 @@
 	assert_int_equal(s.descriptors_max, 65536);
 	assert_int_equal(s.evacuation_bound_ms, 0);
 	assert_true(s.warmup_burst <= 0 && s.warmup_slack <= 0);
+	assert_int_equal(s.memory_max_mb, 160);
+	assert_int_equal(s.body_stall_ms, 0);
+	assert_int_equal(s.response_stall_ms, 0);
 	assert_string_equal(s.log_level, "info");
 	assert_int_equal(s.placement, CGW_PLACEMENT_AUTO);
 	assert_int_equal(s.admission, CGW_ADMISSION_AUTO);
@@ -66,6 +69,7 @@
 			      "\"server_heartbeat_ms\":400,"
 			      "\"placement\":\"expected_finish\","
 			      "\"admission\":\"urgency\","
+			      "\"memory_max_mb\":512,"
 			      "\"metrics_port\":9464}",
 			      &s, &f),
 			 0);
@@ -73,6 +77,7 @@
 	assert_int_equal(s.retry_slack, 56);
 	assert_int_equal(s.metrics_port, 9464);
 	assert_int_equal(s.placement, CGW_PLACEMENT_EXPECTED_FINISH);
+	assert_int_equal(s.memory_max_mb, 512);
 	assert_string_equal(s.log_level, "debug");
 	assert_int_equal(s.admission, CGW_ADMISSION_URGENCY);
 	cgw_settings_clear(&s);
@@ -97,6 +102,11 @@
 		"{" REQUIRED ",\"placement\":1}",
 		"{" REQUIRED ",\"admission\":\"first\"}",
 		"{" REQUIRED ",\"admission\":1}",
+		"{" REQUIRED ",\"memory_max_mb\":63}",
+		"{" REQUIRED ",\"memory_max_mb\":65537}",
+		"{" REQUIRED ",\"memory_max_mb\":\"much\"}",
+		"{" REQUIRED ",\"body_stall_ms\":999}",
+		"{" REQUIRED ",\"response_stall_ms\":3600001}",
 	};
 
 	(void)state;
