Recognise a store that returns from an older copy in the feed

Cause: the store may return from a copy that is some seconds old. Its revisions go back and are given out again, and what was written since is lost. The feed went on watching from its old revision, took servers that had left for ready, and never wrote lost entries of the fleet again.

Change: each response carries Store-Era (store_format.era_header). A response with a lower era counts as a failed call. In a new era a watch or a list begun earlier is dropped and the whole list of servers read; entries that the copy lacks are kept as after an outage; server_memory.c remembers by born and seq which servers drain or have left (at most 4,096, ten minutes), and older entries of them are not used. A read proves that a configuration is the latest only if it started 1,500 ms after the change (800 ms after the era became known) and no daemon is known to have a newer version. A leader lists the fleet again at a random time within 400 ms, and 3 s and 10 s later, and writes its entry and the secret in use again.

The stand-in of the store saves a copy, returns from it, names its era, and answers 410 to a watch from a revision that it does not have.

Result: of the 10 new tests in test_gateway_feed 7 failed with the code before (u0 not in force after 2,000 ms; t0 given up at once; s0 used again; an equal version proved within 1,000 ms; a late response took effect; own entry not written within 3,000 ms; the other secret stayed). Three passed before and guard what must stay: replaced_configuration_does_not_come_back, unchanged_configuration_is_proved_again and acknowledged_writes_that_are_lost_are_repeated. All 15 pass now, as do test_gateway_server_memory (5, new with its module), test_platform_format (12), test_platform_standin (6), test_object_store (1), test_system_notices (3) and test_system_gateway (31).

--- a/include/gateway/broker.h
+++ b/include/gateway/broker.h
@@ -31,6 +31,8 @@
 	char domain[CGW_NAME_MAX + 1];
 	int64_t slots; /**< Requests that it can run concurrently. */
 	int64_t started_wall_ms; /**< Wall time of its start; 0 if unknown. */
+	/** Raised each time its entry in the store is written; 0 if unknown. */
+	int64_t seq;
 	cg_ms warmup_remaining_ms; /**< Until its warm-up ends. */
 	bool leaving; /**< It shuts down and gets no new requests. */
 };
--- a/include/gateway/feed.h
+++ b/include/gateway/feed.h
@@ -34,6 +34,9 @@
  * it. Nothing else is read before cgw_feed_set_polling() or
  * cgw_feed_refresh(). */
 void cgw_feed_start(struct cgw_feed *f);
+/** Lists the fleet again after a random delay and writes what it lacks: the leader
+ * has found that the entry of this daemon is missing. */
+void cgw_feed_register_again(struct cgw_feed *f);
 /** Starts or stops periodic reads of the configuration and the servers. */
 void cgw_feed_set_polling(struct cgw_feed *f, bool polling);
 /** Reads the configuration from the store as soon as possible. */
@@ -67,6 +70,24 @@
 /** Returns the time at which the table was last proved to be the latest, or
  * -1. */
 cg_ms cgw_feed_proved_at(const struct cgw_feed *f);
+/** Records that another daemon has a configuration of this version. A read of an
+ * older one proves nothing. */
+void cgw_feed_record_known_version(struct cgw_feed *f, uint64_t version);
+/** Returns the highest version that a daemon is known to have; 0 for none. */
+uint64_t cgw_feed_known_version(const struct cgw_feed *f);
+/** Returns whether another daemon has a newer configuration than this one, which
+ * the store, read since, does not have. */
+bool cgw_feed_is_behind(const struct cgw_feed *f);
+/** Records the era of the store that another daemon has seen. */
+void cgw_feed_record_era(struct cgw_feed *f, uint64_t era);
+/** Returns the highest era of the store that is known; 0 for none. */
+uint64_t cgw_feed_era(const struct cgw_feed *f);
+/** Returns how often the store has returned from an older copy since this process
+ * started. */
+uint64_t cgw_feed_era_changes(const struct cgw_feed *f);
+/** Returns whether the era has changed, or become known, so recently that other
+ * daemons may not have reported yet what the store has lost. */
+bool cgw_feed_is_settling(const struct cgw_feed *f);
 /** Returns whether the store can be read, as far as this daemon has tried. One
  * failed call does not count. */
 bool cgw_feed_is_healthy(const struct cgw_feed *f);
--- a/include/gateway/store_format.h
+++ b/include/gateway/store_format.h
@@ -42,6 +42,9 @@
  * reason of a failure. */
 struct cgw_store_format {
 	struct cgw_header_names headers;
+	/** Name of the header in all responses of the store whose value rises
+	 * each time the store returns from an older copy, or NULL. */
+	const char *era_header;
 
 	/** Return the HTTP request target of a read. @p after is the value that
 	 * the previous page of a list returned, or NULL for the first page. */
--- a/src/gateway/feed.c
+++ b/src/gateway/feed.c
@@ -148,8 +148,11 @@
 	uint64_t version = put_into_force(f, r->call.body->data,
 					  r->call.body->len, "the store");
 
-	if (version && version == cgw_table_version(f->table))
+	if (version && version == cgw_table_version(f->table) &&
+	    cgw_feed_may_prove(f, version, r->sent_at))
 		f->proved_at = MAX(f->proved_at, r->sent_at);
+	if (version && version < f->known_version)
+		f->older_read_at = r->sent_at;
 	r->succeeded |= version != 0;
 	r->last_read_at = r->sent_at;
 }
@@ -184,6 +187,7 @@
 	f->servers = g_array_new(FALSE, TRUE, sizeof(struct cgw_server_facts));
 	f->listed_servers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	f->departed = cgw_server_memory_new();
 	for (int i = 0; i < READER_COUNT; i++) {
 		struct reader *r = &f->readers[i];
 
@@ -217,6 +221,7 @@
 	}
 	g_array_unref(f->servers);
 	g_hash_table_unref(f->listed_servers);
+	cgw_server_memory_free(f->departed);
 	cgw_table_unref(f->table);
 	if (f->config_text)
 		g_bytes_unref(f->config_text);
@@ -244,6 +249,9 @@
 	f->readers[READER_SERVERS].revision = 0;
 	cgw_feed_request_read(&f->readers[READER_CONFIG]);
 	cgw_feed_request_read(&f->readers[READER_SERVERS]);
+	/* This daemon has not listed the fleet since the change. */
+	if (f->era_changes && f->readers[READER_FLEET].era < f->era)
+		cgw_feed_list_fleet_again(f, 0);
 }
 
 void cgw_feed_refresh(struct cgw_feed *f)
@@ -259,7 +267,8 @@
 void cgw_feed_record_proof(struct cgw_feed *f, uint64_t version,
 			   cg_ms proved_at)
 {
-	if (f->table && cgw_table_version(f->table) == version)
+	if (f->table && cgw_table_version(f->table) == version &&
+	    version >= f->known_version)
 		f->proved_at = MAX(f->proved_at, proved_at);
 }
 
--- a/src/gateway/feed_calls.c
+++ b/src/gateway/feed_calls.c
@@ -73,6 +73,10 @@
 	if (cgw_feed_is_write(r)) {
 		r->wrote = true;
 		r->last_write = r->step;
+		if (r->step == STEP_REGISTER || r->step == STEP_UPDATE)
+			f->registered_at = r->sent_at;
+		if (r->step == STEP_RESTORE_SECRET)
+			f->secret_restored_era = r->era;
 		r->step = STEP_LIST;
 		return 0;
 	}
@@ -101,6 +105,13 @@
 	return cgw_feed_apply_fleet(r);
 }
 
+static void drop_pages(struct reader *r)
+{
+	g_clear_pointer(&r->cursor, g_free);
+	if (r->items)
+		g_array_set_size(r->items, 0);
+}
+
 static void on_call_done(struct cgw_call *call)
 {
 	struct reader *r = caa_container_of(call, struct reader, call);
@@ -115,24 +126,35 @@
 	/* The store no longer knows the changes since the list was read. */
 	bool forgotten = r->watching && call->outcome == CGW_CALL_RESPONDED &&
 			 call->status == 410;
+	enum era_check era = call->outcome == CGW_CALL_RESPONDED
+				     ? cgw_feed_check_era(r)
+				     : ERA_USABLE;
 	char reason[64];
 	cg_ms delay;
 
-	g_snprintf(reason, sizeof(reason), "call outcome %d, HTTP status %d",
-		   (int)call->outcome, call->status);
+	if (era == ERA_LATE)
+		ok = empty = forgotten = false;
+	g_snprintf(reason, sizeof(reason), "call outcome %d, HTTP status %d%s",
+		   (int)call->outcome, call->status,
+		   era == ERA_LATE ? ", from an earlier era" : "");
 	cgw_feed_record_outcome(r, ok || empty || forgotten, reason);
 	if (empty)
 		r->last_read_at = r->sent_at;
-	if (ok) {
+	if (era == ERA_INTERRUPTED && (ok || forgotten)) {
+		drop_pages(r);
+		r->revision = 0;
+		delay = f->polling || r->kind == READER_FLEET ? 0 : -1;
+	} else if (ok) {
 		delay = handle_response(r);
 	} else if (forgotten) {
 		r->revision = 0;
 		delay = f->polling ? 0 : -1;
 	} else {
 		/* Drops the pages read so far: only complete lists are used. */
-		g_clear_pointer(&r->cursor, g_free);
-		if (r->items)
-			g_array_set_size(r->items, 0);
+		drop_pages(r);
+		/* The entry that was to be replaced is lost. */
+		if (cgw_feed_is_write(r) && call->status == 404)
+			r->step = STEP_LIST;
 		delay = !empty	     ? r->retry_delay
 			: f->polling ? poll_interval(f)
 				     : -1;
@@ -168,8 +190,12 @@
 	}
 	if (r->step == STEP_UPDATE)
 		return format->fleet_entry_target(r->feed->settings->instance);
-	return format->fleet_target(r->cursor,
-				    !cgw_feed_is_write(r) && !r->wrote);
+	if (r->step == STEP_RESTORE_SECRET)
+		return format->fleet_entry_target("secret");
+	/* A list that may be old does for a daemon that starts. */
+	return format->fleet_target(r->cursor, !cgw_feed_is_write(r) &&
+						       !r->wrote &&
+						       !r->feed->era_changes);
 }
 
 static void build_request(struct reader *r)
@@ -181,9 +207,11 @@
 	GString *text = g_string_new(NULL);
 
 	g_string_printf(text, "%s %s HTTP/1.1\r\nHost: %s\r\n",
-			!body			 ? "GET"
-			: r->step == STEP_UPDATE ? "PUT"
-						 : "POST",
+			!body ? "GET"
+			: r->step == STEP_UPDATE ||
+					r->step == STEP_RESTORE_SECRET
+				? "PUT"
+				: "POST",
 			target, store);
 	if (body)
 		g_string_append_printf(text,
--- a/src/gateway/feed_internal.h
+++ b/src/gateway/feed_internal.h
@@ -1,13 +1,15 @@
 /**
  * @file feed_internal.h
  * Declarations shared by the files of the feed: feed_calls.c (calls to the
- * store), feed_servers.c (list of servers and its watch), feed_fleet.c (list of
- * the fleet and registration) and feed.c (configuration, health).
+ * store), feed_era.c (return of the store from an older copy), feed_servers.c
+ * (list of servers and its watch), feed_fleet.c (list of the fleet and
+ * registration) and feed.c (configuration, health).
  */
 #ifndef CELERYGLADE_GATEWAY_FEED_INTERNAL_H
 #define CELERYGLADE_GATEWAY_FEED_INTERNAL_H
 
 #include "gateway/feed.h"
+#include "gateway/server_memory.h"
 
 /* The list of servers is read once, then its changes are watched. A watch
  * without changes ends after this time. The list counts as proved until then. */
@@ -42,7 +44,8 @@
 	STEP_LIST,
 	STEP_CREATE_SECRET,
 	STEP_REGISTER, /* creates the entry of this daemon */
-	STEP_UPDATE /* replaces it */
+	STEP_UPDATE, /* replaces it */
+	STEP_RESTORE_SECRET /* replaces the secret by the one in use */
 };
 
 /* Reads one resource of the store, in one or more calls. */
@@ -59,6 +62,7 @@
 	char *cursor; /* of the next page of a listing, or NULL */
 	GArray *items; /* entries read so far */
 	unsigned int invalid_entries;
+	uint64_t era; /* of the items and the revision; 0 if unknown */
 	bool read_again; /* start a read when the present call ends */
 	enum fleet_step step; /* of the fleet's reader */
 	bool wrote; /* this process has written to the fleet */
@@ -98,6 +102,21 @@
 				* entries can have expired */
 	struct cgw_timer grace_timer; /* fires EXPIRED_ENTRY_GRACE_MS later */
 	cg_ms servers_read_at; /* start of that read */
+	uint64_t servers_era; /* of listed_servers; 0 if unknown */
+	struct cgw_server_memory *departed;
+	uint64_t era; /* highest of the store that is known; 0: none */
+	uint64_t era_changes; /* since the start of this process */
+	cg_ms settled_at; /* reads that start earlier prove nothing */
+	uint64_t known_version; /* highest that another daemon has or had */
+	cg_ms known_since;
+	cg_ms older_read_at; /* start of the last read that found an older
+			      * version than that */
+	char secret[65]; /* of the fleet, as in use; "" until known */
+	uint64_t secret_era; /* in which it was read */
+	uint64_t secret_restored_era; /* in which it replaced another one */
+	cg_ms secret_wait_since; /* 0 unless it waits for a secret */
+	unsigned int fleet_lists; /* since the last change of era */
+	cg_ms registered_at; /* last write of the own entry */
 	uint64_t call_count;
 };
 
@@ -119,6 +138,19 @@
 cg_ms cgw_feed_apply_server_events(struct reader *r);
 void cgw_feed_on_grace_end(struct cgw_timer *t);
 
+enum era_check {
+	ERA_USABLE,
+	ERA_LATE, /* the response is of an earlier era: it shows nothing */
+	ERA_INTERRUPTED /* it continues a read of another era */
+};
+
+/* Checks the era of the response to the present call, and records a new one. */
+enum era_check cgw_feed_check_era(struct reader *r);
+/* Returns whether a read of a version proves that it is the latest. */
+bool cgw_feed_may_prove(const struct cgw_feed *f, uint64_t version,
+			cg_ms read_at);
+void cgw_feed_list_fleet_again(struct cgw_feed *f, cg_ms delay);
+
 bool cgw_feed_is_write(const struct reader *r);
 /* Returns the delay until the next call, or -1 for none. */
 cg_ms cgw_feed_apply_fleet(struct reader *r);
--- a/src/gateway/feed_servers.c
+++ b/src/gateway/feed_servers.c
@@ -65,20 +65,101 @@
 	g_hash_table_replace(f->listed_servers, copy->id, copy);
 }
 
+static void record_departure(struct cgw_feed *f,
+			     const struct cgw_server_facts *s, bool gone,
+			     uint64_t era)
+{
+	struct cgw_departure d = {
+		.started_wall_ms = s->started_wall_ms,
+		.seq = s->seq,
+		.era = era,
+		.gone = gone,
+	};
+
+	g_strlcpy(d.id, s->id, sizeof(d.id));
+	cgw_server_memory_record(f->departed, &d, cgw_loop_now(f->loop));
+}
+
+/* Lists a server unless its entry is older than what is known of it: such an
+ * entry comes from the copy that the store has returned from. */
+static void list_current_server(struct cgw_feed *f,
+				const struct cgw_server_facts *s, uint64_t era)
+{
+	const struct cgw_server_facts *known =
+		g_hash_table_lookup(f->listed_servers, s->id);
+	struct cgw_server_facts facts = *s;
+
+	if (known && f->servers_era < era &&
+	    s->started_wall_ms < known->started_wall_ms)
+		return;
+	switch (cgw_server_memory_check(f->departed, s, era,
+					cgw_loop_now(f->loop))) {
+	case CGW_ENTRY_GONE:
+		g_hash_table_remove(f->listed_servers, s->id);
+		return;
+	case CGW_ENTRY_DRAINING:
+		facts.leaving = true;
+		break;
+	case CGW_ENTRY_CURRENT:
+		if (facts.leaving)
+			record_departure(f, &facts, false, era);
+		break;
+	}
+	cgw_feed_list_server(f, &facts);
+}
+
+/* Removes the servers that the list that was just read lacks. In the same era
+ * they have left. */
+static void remove_unlisted(struct reader *r)
+{
+	struct cgw_feed *f = r->feed;
+	GHashTable *ids = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTableIter it;
+	gpointer value;
+
+	for (guint i = 0; i < r->items->len; i++)
+		g_hash_table_add(
+			ids,
+			g_array_index(r->items, struct cgw_server_facts, i).id);
+	g_hash_table_iter_init(&it, f->listed_servers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct cgw_server_facts *s = value;
+
+		if (g_hash_table_contains(ids, s->id))
+			continue;
+		if (f->servers_era == r->era)
+			record_departure(f, s, true, r->era);
+		g_hash_table_iter_remove(&it);
+	}
+	g_hash_table_unref(ids);
+}
+
 void cgw_feed_apply_server_list(struct reader *r)
 {
 	struct cgw_feed *f = r->feed;
 
-	g_hash_table_remove_all(f->listed_servers);
+	remove_unlisted(r);
 	for (guint i = 0; i < r->items->len; i++)
-		cgw_feed_list_server(
-			f,
-			&g_array_index(r->items, struct cgw_server_facts, i));
+		list_current_server(
+			f, &g_array_index(r->items, struct cgw_server_facts, i),
+			r->era);
 	g_array_set_size(r->items, 0);
+	f->servers_era = r->era;
 	r->revision = r->first_page_revision;
 	cgw_feed_apply_servers(r, r->listed_at);
 }
 
+static void remove_server(struct cgw_feed *f, const char *id, uint64_t era)
+{
+	const struct cgw_server_facts *s =
+		g_hash_table_lookup(f->listed_servers, id);
+
+	if (!s)
+		return;
+	record_departure(f, s, true, era);
+	g_hash_table_remove(f->listed_servers, id);
+}
+
 /* Applies the response to a watch. Returns the delay until the next call, or -1
  * if the response is invalid. */
 cg_ms cgw_feed_apply_server_events(struct reader *r)
@@ -105,9 +186,9 @@
 			&g_array_index(events, struct cgw_server_event, i);
 
 		if (e->gone)
-			g_hash_table_remove(f->listed_servers, e->facts.id);
+			remove_server(f, e->facts.id, r->era);
 		else
-			cgw_feed_list_server(f, &e->facts);
+			list_current_server(f, &e->facts, r->era);
 	}
 	if (events->len || f->retains_servers)
 		cgw_feed_apply_servers(r, r->sent_at);
--- a/standins/support/object_store.c
+++ b/standins/support/object_store.c
@@ -39,6 +39,10 @@
 	GPtrArray *history; /* struct change, oldest first. */
 	uint64_t rev;
 	uint64_t compacted_rev;
+	GPtrArray *copy; /* struct entry, as saved, or NULL. */
+	uint64_t copy_rev;
+	bool lose_next_write;
+	_Atomic uint64_t era;
 	unsigned int page;
 	_Atomic int fault;
 	_Atomic uint64_t calls;
@@ -227,6 +231,79 @@
 	o->fault = fault;
 }
 
+static GPtrArray *copy_entries(GPtrArray *from)
+{
+	GPtrArray *to = g_ptr_array_new_with_free_func(free_entry);
+
+	for (guint i = 0; i < from->len; i++) {
+		const struct entry *e = g_ptr_array_index(from, i);
+		struct entry *n = g_memdup2(e, sizeof(*e));
+
+		n->kind = g_strdup(e->kind);
+		n->name = g_strdup(e->name);
+		n->spec = copy_json(e->spec);
+		n->status = copy_json(e->status);
+		n->finalizers = copy_json(e->finalizers);
+		g_ptr_array_add(to, n);
+	}
+	return to;
+}
+
+void objects_save_copy(struct objects *o)
+{
+	g_mutex_lock(&o->lock);
+	if (o->copy)
+		g_ptr_array_unref(o->copy);
+	o->copy = copy_entries(o->entries);
+	o->copy_rev = o->rev;
+	g_mutex_unlock(&o->lock);
+}
+
+static void restore_copy(struct objects *o)
+{
+	g_ptr_array_unref(o->entries);
+	o->entries = copy_entries(o->copy);
+	o->rev = o->copy_rev;
+	while (o->history->len && ((struct change *)g_ptr_array_index(
+					   o->history, o->history->len - 1))
+						  ->rev > o->rev)
+		g_ptr_array_remove_index(o->history, o->history->len - 1);
+	o->compacted_rev = MIN(o->compacted_rev, o->rev);
+	o->era++;
+}
+
+void objects_restore_copy(struct objects *o)
+{
+	g_mutex_lock(&o->lock);
+	restore_copy(o);
+	g_mutex_unlock(&o->lock);
+}
+
+void objects_lose_next_write(struct objects *o)
+{
+	g_mutex_lock(&o->lock);
+	o->lose_next_write = true;
+	g_mutex_unlock(&o->lock);
+}
+
+void objects_set_era(struct objects *o, uint64_t era)
+{
+	o->era = era;
+}
+
+char *objects_get(struct objects *o, const char *kind, const char *name)
+{
+	struct entry *e;
+	char *text = NULL;
+
+	g_mutex_lock(&o->lock);
+	e = find_entry(o, kind, name);
+	if (e)
+		text = g_strdup(json_object_to_json_string(e->spec));
+	g_mutex_unlock(&o->lock);
+	return text;
+}
+
 void objects_compact(struct objects *o)
 {
 	g_mutex_lock(&o->lock);
@@ -235,17 +312,28 @@
 	g_mutex_unlock(&o->lock);
 }
 
-static enum MHD_Result reply(struct MHD_Connection *c, unsigned int status,
-			     struct json_object *body)
+static enum MHD_Result reply_in_era(struct MHD_Connection *c,
+				    unsigned int status,
+				    struct json_object *body, uint64_t era)
 {
 	const char *text = body ? json_object_to_json_string(body) : "{}";
 	struct MHD_Response *m = sh_response(text, strlen(text));
+	char era_text[24];
 
+	g_snprintf(era_text, sizeof(era_text), "%" G_GUINT64_FORMAT, era);
+	if (era)
+		MHD_add_response_header(m, "Store-Era", era_text);
 	MHD_add_response_header(m, "Content-Type", "application/json");
 	json_object_put(body);
 	return sh_send(c, status, m);
 }
 
+static enum MHD_Result reply(struct objects *o, struct MHD_Connection *c,
+			     unsigned int status, struct json_object *body)
+{
+	return reply_in_era(c, status, body, o->era);
+}
+
 static const char *query(struct MHD_Connection *c, const char *name)
 {
 	return MHD_lookup_connection_value(c, MHD_GET_ARGUMENT_KIND, name);
@@ -299,12 +387,13 @@
 			     const char *kind, uint64_t since, int wait_ms)
 {
 	struct json_object *out, *events = NULL;
+	uint64_t era;
 
 	for (int waited = 0;; waited += WATCH_POLL_MS) {
 		g_mutex_lock(&o->lock);
-		if (since < o->compacted_rev) {
+		if (since < o->compacted_rev || since > o->rev) {
 			g_mutex_unlock(&o->lock);
-			return reply(c, 410, NULL);
+			return reply(o, c, 410, NULL);
 		}
 		json_object_put(events);
 		events = changes_since(o, kind, since);
@@ -315,11 +404,12 @@
 		g_usleep(WATCH_POLL_MS * 1000);
 	}
 	out = json_object_new_object();
+	era = o->era;
 	json_object_object_add(out, "events", events);
 	json_object_object_add(out, "as_of",
 			       json_object_new_int64((int64_t)o->rev));
 	g_mutex_unlock(&o->lock);
-	return reply(c, 200, out);
+	return reply_in_era(c, 200, out, era);
 }
 
 static enum MHD_Result handle_read(struct objects *o, struct MHD_Connection *c,
@@ -329,6 +419,7 @@
 	const char *wait = query(c, "wait_ms");
 	struct json_object *out = NULL;
 	struct entry *e;
+	uint64_t era;
 
 	if (!name && since)
 		return watch(o, c, kind, strtoull(since, NULL, 10),
@@ -340,8 +431,9 @@
 		e = find_entry(o, kind, name);
 		out = e ? entry_to_json(e) : NULL;
 	}
+	era = o->era;
 	g_mutex_unlock(&o->lock);
-	return out ? reply(c, 200, out) : reply(c, 404, NULL);
+	return reply_in_era(c, out ? 200 : 404, out, era);
 }
 
 static struct json_object *get_member(struct json_object *o, const char *name)
@@ -374,6 +466,7 @@
 		get_member(get_member(in, "metadata"), "name");
 	struct json_object *out = NULL;
 	unsigned int code = 200;
+	uint64_t era;
 	struct entry *e;
 
 	if (!name)
@@ -403,8 +496,13 @@
 	}
 	if (e && code != 404)
 		out = entry_to_json(e);
+	era = o->era;
+	if (o->lose_next_write && code == 200) {
+		o->lose_next_write = false;
+		restore_copy(o);
+	}
 	g_mutex_unlock(&o->lock);
-	return reply(c, code, out);
+	return reply_in_era(c, code, out, era);
 }
 
 static enum MHD_Result handle(void *arg, struct MHD_Connection *c,
@@ -423,7 +521,7 @@
 		return MHD_YES;
 	o->calls++;
 	if (o->fault == OBJECTS_FAULT_503 || o->fault == OBJECTS_FAULT_429)
-		return reply(c, o->fault == OBJECTS_FAULT_503 ? 503 : 429,
+		return reply(o, c, o->fault == OBJECTS_FAULT_503 ? 503 : 429,
 			     NULL);
 	if (o->fault == OBJECTS_FAULT_NO_RESPONSE) {
 		for (int i = 0; i < NO_RESPONSE_MS / 10 && !o->stopping; i++)
@@ -435,7 +533,7 @@
 	parts = g_strsplit(path, "/", 6);
 	if (g_strv_length(parts) < 3 || strcmp(parts[1], "objects") != 0) {
 		g_strfreev(parts);
-		return reply(c, 404, NULL);
+		return reply(o, c, 404, NULL);
 	}
 	if (write) {
 		if (sh_body(ctx)->len)
@@ -459,6 +557,7 @@
 	g_mutex_init(&o->lock);
 	o->page = page ? page : 500;
 	o->rev = 1;
+	o->era = 1;
 	o->entries = g_ptr_array_new_with_free_func(free_entry);
 	o->history = g_ptr_array_new_with_free_func(free_change);
 	o->http = sh_listen(port, NULL, NULL, handle, o);
@@ -474,6 +573,8 @@
 	if (o->http)
 		MHD_stop_daemon(o->http);
 	g_ptr_array_unref(o->entries);
+	if (o->copy)
+		g_ptr_array_unref(o->copy);
 	g_ptr_array_unref(o->history);
 	g_free(o);
 }
--- a/standins/support/object_store.h
+++ b/standins/support/object_store.h
@@ -42,6 +42,10 @@
 /** Drops the history: watches from an earlier revision get 410. */
 void objects_compact(struct objects *o);
 
+/** The next write takes effect and is answered, and then the store returns from the
+ * saved copy at once. */
+void objects_lose_next_write(struct objects *o);
+
 /** Creates or replaces an object; @p spec is JSON text. */
 void objects_put(struct objects *o, const char *kind, const char *name,
 		 const char *spec);
@@ -49,6 +53,21 @@
 /** Removes an object if it exists. */
 void objects_remove(struct objects *o, const char *kind, const char *name);
 
+/** Saves a copy of all objects and the revision, in place of any earlier one. */
+void objects_save_copy(struct objects *o);
+
+/** Returns from the saved copy: what was written since is lost, the revision goes
+ * back to that of the copy, and the era rises by one. Other objects may then get
+ * the same revisions again. */
+void objects_restore_copy(struct objects *o);
+
+/** Sets the header Store-Era of all responses; 0: no such header. It is 1 at the
+ * start. */
+void objects_set_era(struct objects *o, uint64_t era);
+
+/** Returns the spec of an object as JSON, which the caller frees, or NULL. */
+char *objects_get(struct objects *o, const char *kind, const char *name);
+
 /** Returns the number of objects of a kind. */
 unsigned int objects_count(struct objects *o, const char *kind);
 
