Let the fleet keep its promises through a store that returns from a copy

Cause: followers do not read the store, and a daemon that starts, or comes back from a partition, takes an older configuration of the store for the latest.

A list of servers that is handed on carries the era, the seq of each entry and the servers that drain or have left. The daemon that created the secret, and one that begins to lead with a list of the fleet older than 3,000 ms, list it again. Counter store_returns_from_copy.

--- a/include/celeryglade/counters.h
+++ b/include/celeryglade/counters.h
@@ -17,6 +17,7 @@
 	X(ANSWERED, "answered")                                                \
 	X(ATTEMPTS, "attempts")                                                \
 	X(LATE_RESPONSES, "late_responses_discarded")                          \
+	X(STORE_RETURNS, "store_returns_from_copy")                            \
 	X(CONNECTIONS_OPENED, "server_connections_opened")                     \
 	X(CONNECTIONS_CONDEMNED, "server_connections_condemned")               \
 	X(CLAIMS_REPLAYED, "claims_replayed")                                  \
--- a/include/gateway/feed.h
+++ b/include/gateway/feed.h
@@ -8,6 +8,7 @@
 
 #include "gateway/gateway_settings.h"
 #include "gateway/loop.h"
+#include "gateway/server_memory.h"
 #include "gateway/store_format.h"
 #include "gateway/upstream.h"
 
@@ -62,7 +63,15 @@
  * has any. */
 void cgw_feed_take_servers(struct cgw_feed *f,
 			   const struct cgw_server_facts *servers, size_t n,
-			   cg_ms read_at);
+			   uint64_t era, cg_ms read_at);
+/** Takes servers that drain or have left, as another daemon remembers them. Older
+ * entries of them are no longer used. */
+void cgw_feed_take_departures(struct cgw_feed *f, const struct cgw_departure *d,
+			      size_t n);
+/** Returns the remembered ones (struct cgw_departure), which the caller frees. */
+GArray *cgw_feed_departures(struct cgw_feed *f);
+/** Returns the era of the store that the list of servers shows; 0 if unknown. */
+uint64_t cgw_feed_servers_era(const struct cgw_feed *f);
 /** Records a proof of freshness from another daemon: at @p proved_at, on this
  * daemon's clock, @p version was the latest version. */
 void cgw_feed_record_proof(struct cgw_feed *f, uint64_t version,
@@ -71,16 +80,19 @@
  * -1. */
 cg_ms cgw_feed_proved_at(const struct cgw_feed *f);
 /** Records that another daemon has a configuration of this version. A read of an
- * older one proves nothing. */
+ * older one proves nothing in the next two seconds. */
 void cgw_feed_record_known_version(struct cgw_feed *f, uint64_t version);
-/** Returns the highest version that a daemon is known to have; 0 for none. */
+/** Returns the highest version that another daemon has reported in the last two
+ * seconds; 0 for none. */
 uint64_t cgw_feed_known_version(const struct cgw_feed *f);
 /** Returns whether another daemon has a newer configuration than this one, which
  * the store, read since, does not have. */
 bool cgw_feed_is_behind(const struct cgw_feed *f);
-/** Records the era of the store that another daemon has seen. */
+/** Records the era of the store that another daemon has seen. Responses of an
+ * earlier one show nothing in the next two seconds. */
 void cgw_feed_record_era(struct cgw_feed *f, uint64_t era);
-/** Returns the highest era of the store that is known; 0 for none. */
+/** Returns the highest era that the store has shown to this process; 0 for
+ * none. */
 uint64_t cgw_feed_era(const struct cgw_feed *f);
 /** Returns how often the store has returned from an older copy since this process
  * started. */
@@ -88,6 +100,9 @@
 /** Returns whether the era has changed, or become known, so recently that other
  * daemons may not have reported yet what the store has lost. */
 bool cgw_feed_is_settling(const struct cgw_feed *f);
+/** Returns whether the reports of other daemons matter: in that time, and while one
+ * of them has a newer configuration or has seen a later era. */
+bool cgw_feed_needs_reports(const struct cgw_feed *f);
 /** Returns whether the store can be read, as far as this daemon has tried. One
  * failed call does not count. */
 bool cgw_feed_is_healthy(const struct cgw_feed *f);
--- a/src/gateway/feed.c
+++ b/src/gateway/feed.c
@@ -12,6 +12,8 @@
 /* An entry expires after this many intervals without a message from its server.
  * The last message may be one interval old when an outage begins. */
 #define EXPIRY_INTERVALS 3
+/* A daemon that begins to poll lists the fleet if its last list is older. */
+#define FLEET_LIST_MAX_AGE_MS 3000
 
 const char *const cgw_feed_reader_names[READER_COUNT] = { "configuration",
 							  "servers", "fleet" };
@@ -151,7 +153,7 @@
 	if (version && version == cgw_table_version(f->table) &&
 	    cgw_feed_may_prove(f, version, r->sent_at))
 		f->proved_at = MAX(f->proved_at, r->sent_at);
-	if (version && version < f->known_version)
+	if (version && version < cgw_feed_known_version(f))
 		f->older_read_at = r->sent_at;
 	r->succeeded |= version != 0;
 	r->last_read_at = r->sent_at;
@@ -187,6 +189,8 @@
 	f->servers = g_array_new(FALSE, TRUE, sizeof(struct cgw_server_facts));
 	f->listed_servers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	f->heard_era_at = G_MININT32;
+	f->known_at = G_MININT32;
 	f->departed = cgw_server_memory_new();
 	for (int i = 0; i < READER_COUNT; i++) {
 		struct reader *r = &f->readers[i];
@@ -249,8 +253,10 @@
 	f->readers[READER_SERVERS].revision = 0;
 	cgw_feed_request_read(&f->readers[READER_CONFIG]);
 	cgw_feed_request_read(&f->readers[READER_SERVERS]);
-	/* This daemon has not listed the fleet since the change. */
-	if (f->era_changes && f->readers[READER_FLEET].era < f->era)
+	/* It may have lost contact because the secret has been replaced, or may
+	 * not have listed the fleet since the era changed. */
+	if (f->era && f->fleet_listed_at &&
+	    f->polling_since - f->fleet_listed_at >= FLEET_LIST_MAX_AGE_MS)
 		cgw_feed_list_fleet_again(f, 0);
 }
 
@@ -268,7 +274,7 @@
 			   cg_ms proved_at)
 {
 	if (f->table && cgw_table_version(f->table) == version &&
-	    version >= f->known_version)
+	    version >= cgw_feed_known_version(f))
 		f->proved_at = MAX(f->proved_at, proved_at);
 }
 
@@ -282,19 +288,6 @@
 	return f->servers;
 }
 
-void cgw_feed_take_servers(struct cgw_feed *f,
-			   const struct cgw_server_facts *servers, size_t n,
-			   cg_ms read_at)
-{
-	if ((f->polling && f->servers_read_at >= 0) ||
-	    read_at <= f->servers_read_at)
-		return;
-	g_hash_table_remove_all(f->listed_servers);
-	for (size_t i = 0; i < n; i++)
-		cgw_feed_list_server(f, &servers[i]);
-	cgw_feed_apply_servers(&f->readers[READER_SERVERS], read_at);
-}
-
 cg_ms cgw_feed_last_config_read(const struct cgw_feed *f)
 {
 	return f->readers[READER_CONFIG].last_read_at;
--- a/src/gateway/feed_calls.c
+++ b/src/gateway/feed_calls.c
@@ -75,6 +75,9 @@
 		r->last_write = r->step;
 		if (r->step == STEP_REGISTER || r->step == STEP_UPDATE)
 			f->registered_at = r->sent_at;
+		if (r->step == STEP_CREATE_SECRET && f->era && !*f->secret &&
+		    r->call.status != 409)
+			f->created_secret = true;
 		if (r->step == STEP_RESTORE_SECRET)
 			f->secret_restored_era = r->era;
 		r->step = STEP_LIST;
--- a/src/gateway/feed_era.c
+++ b/src/gateway/feed_era.c
@@ -1,6 +1,7 @@
 #define CG_PART "feed"
 #include "feed_internal.h"
 
+#include "celeryglade/counters.h"
 #include "internal/logging.h"
 
 /* A store that has been away may return from a copy that is some seconds old. It
@@ -18,6 +19,10 @@
 /* The leaders list the fleet again within this time after a change of era, each
  * at a random moment. */
 #define FLEET_LIST_SPREAD_MS 400
+/* What another daemon has said of its era or version counts for this time. The
+ * brokers go on asking each other while it matters. Without an end, one faulty
+ * message would keep a daemon from ever proving anything. */
+#define HEARD_MS 2000
 
 static uint64_t era_of_response(const struct reader *r)
 {
@@ -44,16 +49,21 @@
 	cgw_feed_schedule(r, 0);
 }
 
-void cgw_feed_record_era(struct cgw_feed *f, uint64_t era)
+static void settle(struct cgw_feed *f, cg_ms ms)
+{
+	f->settled_at = MAX(f->settled_at, cgw_loop_now(f->loop) + ms);
+}
+
+/* Records the era of a response, higher than any before. */
+static void begin_era(struct cgw_feed *f, uint64_t era)
 {
 	cg_ms now = cgw_loop_now(f->loop);
 	bool changed = f->era != 0;
 
-	if (era <= f->era)
-		return;
-	f->settled_at = now + (changed ? SETTLE_MS : SETTLE_START_MS);
+	settle(f, changed ? SETTLE_MS : SETTLE_START_MS);
 	if (changed) {
 		f->era_changes++;
+		cg_count(CG_COUNTER_STORE_RETURNS);
 		cg_warning("the store has returned from an older copy: era "
 			   "%" G_GUINT64_FORMAT " after %" G_GUINT64_FORMAT,
 			   era, f->era);
@@ -71,6 +81,24 @@
 			f, g_random_int_range(0, FLEET_LIST_SPREAD_MS));
 }
 
+static uint64_t heard_era(const struct cgw_feed *f)
+{
+	return cgw_loop_now(f->loop) - f->heard_era_at < HEARD_MS ? f->heard_era
+								  : 0;
+}
+
+void cgw_feed_record_era(struct cgw_feed *f, uint64_t era)
+{
+	uint64_t heard = heard_era(f);
+
+	if (era <= f->era || era < heard)
+		return;
+	if (era > heard && f->era)
+		settle(f, SETTLE_MS);
+	f->heard_era = era;
+	f->heard_era_at = cgw_loop_now(f->loop);
+}
+
 enum era_check cgw_feed_check_era(struct reader *r)
 {
 	struct cgw_feed *f = r->feed;
@@ -79,9 +107,10 @@
 
 	if (!era)
 		return ERA_USABLE;
-	if (era < f->era)
+	if (era < f->era || era < heard_era(f))
 		return ERA_LATE;
-	cgw_feed_record_era(f, era);
+	if (era > f->era)
+		begin_era(f, era);
 	if (continues && r->era != era) {
 		r->era = era;
 		return ERA_INTERRUPTED;
@@ -93,27 +122,34 @@
 bool cgw_feed_may_prove(const struct cgw_feed *f, uint64_t version,
 			cg_ms read_at)
 {
-	return version >= f->known_version && read_at >= f->settled_at;
+	return version >= cgw_feed_known_version(f) && read_at >= f->settled_at;
 }
 
 void cgw_feed_record_known_version(struct cgw_feed *f, uint64_t version)
 {
-	if (version <= f->known_version)
+	uint64_t known = cgw_feed_known_version(f);
+	cg_ms now = cgw_loop_now(f->loop);
+
+	if (!version || version < known)
 		return;
+	if (version > known)
+		f->known_since = now;
 	f->known_version = version;
-	f->known_since = cgw_loop_now(f->loop);
+	f->known_at = now;
 }
 
 uint64_t cgw_feed_known_version(const struct cgw_feed *f)
 {
-	return f->known_version;
+	return cgw_loop_now(f->loop) - f->known_at < HEARD_MS ? f->known_version
+							      : 0;
 }
 
 bool cgw_feed_is_behind(const struct cgw_feed *f)
 {
 	uint64_t version = f->table ? cgw_table_version(f->table) : 0;
 
-	return version < f->known_version && f->older_read_at > f->known_since;
+	return version < cgw_feed_known_version(f) &&
+	       f->older_read_at > f->known_since;
 }
 
 uint64_t cgw_feed_era(const struct cgw_feed *f)
@@ -130,3 +166,12 @@
 {
 	return f->era && cgw_loop_now(f->loop) < f->settled_at;
 }
+
+bool cgw_feed_needs_reports(const struct cgw_feed *f)
+{
+	uint64_t version = f->table ? cgw_table_version(f->table) : 0;
+
+	return cgw_feed_is_settling(f) ||
+	       (f->era &&
+		(version < cgw_feed_known_version(f) || f->era < heard_era(f)));
+}
--- a/src/gateway/feed_fleet.c
+++ b/src/gateway/feed_fleet.c
@@ -128,10 +128,11 @@
 
 /* Returns the delay until the next list of the fleet after one that lacked
  * nothing, or -1 for none. After a change of era, daemons that start write what
- * others have to put right. */
+ * others have to put right; one that has created the secret finds out whether it
+ * replaced another one. */
 static cg_ms next_list_delay(struct cgw_feed *f)
 {
-	if (!f->polling || !f->era_changes ||
+	if (!f->polling || !(f->era_changes || f->created_secret) ||
 	    f->fleet_lists >= G_N_ELEMENTS(LIST_AGAIN_MS))
 		return -1;
 	return LIST_AGAIN_MS[f->fleet_lists++];
@@ -144,6 +145,7 @@
 	enum fleet_step step = next_fleet_step(r);
 	cg_ms delay;
 
+	f->fleet_listed_at = cgw_loop_now(f->loop);
 	report_fleet(r);
 	g_array_set_size(r->items, 0);
 	if (waits)
--- a/src/gateway/feed_internal.h
+++ b/src/gateway/feed_internal.h
@@ -9,7 +9,6 @@
 #define CELERYGLADE_GATEWAY_FEED_INTERNAL_H
 
 #include "gateway/feed.h"
-#include "gateway/server_memory.h"
 
 /* The list of servers is read once, then its changes are watched. A watch
  * without changes ends after this time. The list counts as proved until then. */
@@ -104,18 +103,25 @@
 	cg_ms servers_read_at; /* start of that read */
 	uint64_t servers_era; /* of listed_servers; 0 if unknown */
 	struct cgw_server_memory *departed;
-	uint64_t era; /* highest of the store that is known; 0: none */
+	uint64_t era; /* highest that the store has shown; 0: none */
+	uint64_t heard_era; /* higher one that another daemon has seen */
+	cg_ms heard_era_at; /* when one has last said so */
 	uint64_t era_changes; /* since the start of this process */
 	cg_ms settled_at; /* reads that start earlier prove nothing */
 	uint64_t known_version; /* highest that another daemon has or had */
 	cg_ms known_since;
+	cg_ms known_at; /* when one has last said so */
 	cg_ms older_read_at; /* start of the last read that found an older
 			      * version than that */
 	char secret[65]; /* of the fleet, as in use; "" until known */
 	uint64_t secret_era; /* in which it was read */
 	uint64_t secret_restored_era; /* in which it replaced another one */
 	cg_ms secret_wait_since; /* 0 unless it waits for a secret */
-	unsigned int fleet_lists; /* since the last change of era */
+	/* Lists since the last change of era, or since this daemon created the
+	 * secret. */
+	unsigned int fleet_lists;
+	cg_ms fleet_listed_at; /* end of the last one */
+	bool created_secret; /* that the store then had */
 	cg_ms registered_at; /* last write of the own entry */
 	uint64_t call_count;
 };
--- a/src/gateway/feed_servers.c
+++ b/src/gateway/feed_servers.c
@@ -201,3 +201,59 @@
 	g_array_unref(events);
 	return MAX(0, r->sent_at + WATCH_INTERVAL_MS - now);
 }
+
+void cgw_feed_take_servers(struct cgw_feed *f,
+			   const struct cgw_server_facts *servers, size_t n,
+			   uint64_t era, cg_ms read_at)
+{
+	if ((f->polling && f->servers_read_at >= 0) ||
+	    read_at <= f->servers_read_at)
+		return;
+	g_hash_table_remove_all(f->listed_servers);
+	for (size_t i = 0; i < n; i++)
+		cgw_feed_list_server(f, &servers[i]);
+	f->servers_era = era;
+	cgw_feed_apply_servers(&f->readers[READER_SERVERS], read_at);
+}
+
+void cgw_feed_take_departures(struct cgw_feed *f, const struct cgw_departure *d,
+			      size_t n)
+{
+	cg_ms now = cgw_loop_now(f->loop);
+	bool changed = false;
+
+	for (size_t i = 0; i < n; i++) {
+		struct cgw_server_facts *s =
+			g_hash_table_lookup(f->listed_servers, d[i].id);
+		enum cgw_entry_state state;
+
+		cgw_server_memory_record(f->departed, &d[i], now);
+		if (!s || s->leaving)
+			continue;
+		state = cgw_server_memory_check(f->departed, s, f->servers_era,
+						now);
+		if (state == CGW_ENTRY_CURRENT)
+			continue;
+		changed = true;
+		if (state == CGW_ENTRY_GONE)
+			g_hash_table_remove(f->listed_servers, d[i].id);
+		else
+			s->leaving = true;
+	}
+	if (changed)
+		cgw_feed_apply_servers(&f->readers[READER_SERVERS],
+				       f->servers_read_at);
+}
+
+GArray *cgw_feed_departures(struct cgw_feed *f)
+{
+	GArray *out = g_array_new(FALSE, TRUE, sizeof(struct cgw_departure));
+
+	cgw_server_memory_export(f->departed, out);
+	return out;
+}
+
+uint64_t cgw_feed_servers_era(const struct cgw_feed *f)
+{
+	return f->servers_era;
+}
--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -50,6 +50,7 @@
 	cgw_fleet_set_leading(f, cgw_fleet_is_followed(f));
 	cgw_fleet_check_proof(f);
 	cgw_fleet_check_servers(f);
+	cgw_fleet_check_era(f);
 	/* While the store is unreachable, the last known list of servers is
 	 * better than none. That must have been seen since this daemon leads: a
 	 * failure of long ago would put servers into use that have left. */
--- a/src/gateway/fleet_heartbeat.c
+++ b/src/gateway/fleet_heartbeat.c
@@ -266,5 +266,5 @@
 	/* This daemon does not lead its domain any more, but the sender still
 	 * takes it for the broker: the pong names the leader. */
 	if (!f->leading)
-		cgw_fleet_send_pong(f, m->ip, 0, G_MAXUINT64);
+		cgw_fleet_send_pong(f, m, 0, G_MAXUINT64);
 }
--- a/src/gateway/fleet_internal.h
+++ b/src/gateway/fleet_internal.h
@@ -129,6 +129,8 @@
 	unsigned int capacity; /* of its machine */
 	uint64_t config_version; /* from its last ping or pong */
 	cg_ms proved_at; /* from its last pong; -1 for none */
+	cg_ms added_at;
+	cg_ms listed_at; /* last list of the fleet with its entry; 0: none */
 };
 
 struct cgw_fleet {
@@ -144,6 +146,9 @@
 	 * it can. */
 	cg_ms leader_degraded_at;
 	bool listed; /* the fleet has been listed once */
+	/* Last list of the fleet after a return of the store; 0: none */
+	cg_ms relisted_at;
+	cg_ms config_fetched_at; /* last fetch from another domain */
 	uint64_t incarnation;
 	struct cgw_io io;
 	struct in_addr ip;
@@ -199,8 +204,8 @@
 bool cgw_fleet_own_domain(struct cgw_fleet *f, const struct cgw_member *m);
 void cgw_fleet_send_ping(struct cgw_fleet *f, struct cgw_member *m);
 /** @p version is the configuration that the receiver has. */
-void cgw_fleet_send_pong(struct cgw_fleet *f, struct in_addr to, uint64_t echo,
-			 uint64_t version);
+void cgw_fleet_send_pong(struct cgw_fleet *f, const struct cgw_member *to,
+			 uint64_t echo, uint64_t version);
 void cgw_fleet_handle_ping(struct cgw_fleet *f, struct cgw_member *m,
 			   const fleet_ping *p);
 void cgw_fleet_handle_pong(struct cgw_fleet *f, struct cgw_member *m,
@@ -231,6 +236,21 @@
  * latest. */
 void cgw_fleet_check_proof(struct cgw_fleet *f);
 
+/* fleet_era.c */
+/** Records what a list of the fleet, read after the store has returned from an
+ * older copy, says of a member. */
+void cgw_fleet_record_listed(struct cgw_fleet *f, const char *name,
+			     struct in_addr ip);
+/** Returns whether the list that this leader has read after the store returned
+ * lacks a member of its domain. */
+bool cgw_fleet_is_unlisted(struct cgw_fleet *f, const struct cgw_member *m);
+/** Records what a pong says of the store. */
+void cgw_fleet_record_store(struct cgw_fleet *f, const struct cgw_member *m,
+			    const fleet_pong *p);
+/** After a change of era, asks the brokers of the other domains what they know and
+ * the store does not. */
+void cgw_fleet_check_era(struct cgw_fleet *f);
+
 /* fleet_heartbeat.c */
 /** Returns whether the list of servers is recent enough to serve requests of
  * other domains. */
--- a/src/gateway/fleet_members.c
+++ b/src/gateway/fleet_members.c
@@ -46,6 +46,7 @@
 		m->last_message_at = -MEMBER_TIMEOUT_MS;
 		m->eligibility = CGW_ELIGIBILITY_NO_CONFIG_NO_STORE;
 		m->proved_at = -1;
+		m->added_at = cgw_loop_now(f->loop);
 		g_hash_table_insert(f->members, m->name, m);
 		f->ranking_outdated = true;
 	}
@@ -84,14 +85,17 @@
 void cgw_fleet_update_entries(struct cgw_fleet *f,
 			      const struct cgw_fleet_entry *e, size_t n)
 {
+	if (cgw_feed_era_changes(*f->feed))
+		f->relisted_at = cgw_loop_now(f->loop);
 	for (size_t i = 0; i < n; i++) {
 		struct in_addr ip;
 
 		if (*e[i].secret)
 			g_strlcpy(f->secret, e[i].secret, sizeof(f->secret));
-		else if (inet_pton(AF_INET, e[i].ip, &ip) == 1)
+		else if (inet_pton(AF_INET, e[i].ip, &ip) == 1) {
 			add_listed_member(f, &e[i], ip);
-		else
+			cgw_fleet_record_listed(f, e[i].name, ip);
+		} else
 			cg_warning(
 				"ignored fleet entry %s: no valid IP address",
 				e[i].name);
@@ -263,8 +267,8 @@
 }
 
 /* @version is the configuration that the receiver has. */
-void cgw_fleet_send_pong(struct cgw_fleet *f, struct in_addr to, uint64_t echo,
-			 uint64_t version)
+void cgw_fleet_send_pong(struct cgw_fleet *f, const struct cgw_member *to,
+			 uint64_t echo, uint64_t version)
 {
 	fleet_body b = { .kind = FLEET_PONG };
 	fleet_pong *p = &b.fleet_body_u.pong;
@@ -285,7 +289,9 @@
 		p->config_source_ip = ntohl(choose_config_source(f).s_addr);
 	p->domain_daemons = f->leading ? cgw_fleet_follower_count(f) + 1
 				       : f->domain_daemons;
-	cgw_fleet_send(f, to, &b);
+	p->store_era = cgw_feed_era(*f->feed);
+	p->unlisted = cgw_fleet_is_unlisted(f, to);
+	cgw_fleet_send(f, to->ip, &b);
 }
 
 static bool leader_change_wait_is_over(struct cgw_fleet *f)
@@ -318,7 +324,7 @@
 	for (guint i = 0; i < a->len; i++) {
 		struct cgw_member *m = g_ptr_array_index(a, i);
 
-		cgw_fleet_send_pong(f, m->ip, 0, m->config_version);
+		cgw_fleet_send_pong(f, m, 0, m->config_version);
 	}
 }
 
@@ -570,7 +576,7 @@
 		 * read the store says nothing about now. */
 		m->eligibility = MIN(m->eligibility, CGW_ELIGIBILITY_NO_STORE);
 		if (i < BEST_COUNT)
-			cgw_fleet_send_pong(f, m->ip, 0, m->config_version);
+			cgw_fleet_send_pong(f, m, 0, m->config_version);
 	}
 }
 
@@ -704,8 +710,9 @@
 	struct cgw_held_slot *held;
 
 	m->config_version = p->config_version;
+	cgw_feed_record_known_version(*f->feed, p->config_version);
 	set_capacity(f, m, p->capacity);
-	cgw_fleet_send_pong(f, m->ip, p->sent_ms, p->config_version);
+	cgw_fleet_send_pong(f, m, p->sent_ms, p->config_version);
 	if (!p->follows) {
 		end_following(f, m);
 		return;
@@ -757,6 +764,7 @@
 	m->eligibility = p->eligibility;
 	set_capacity(f, m, p->capacity);
 	m->config_version = p->config_version;
+	cgw_fleet_record_store(f, m, p);
 	g_strlcpy(m->broker, p->broker, sizeof(m->broker));
 	if (p->proof_age_ms >= 0)
 		m->proved_at =
--- a/src/gateway/handoff.c
+++ b/src/gateway/handoff.c
@@ -24,6 +24,8 @@
 #define CONNECT_MS 200
 #define FETCH_MS   1000
 #define NONCE_SIZE 33
+/* Size of the fields that were added to the end of the list of servers. */
+#define TRAILING_FIELDS_MAX 16
 
 enum resource {
 	RESOURCE_CONFIG,
@@ -71,11 +73,35 @@
 
 /* ---- serving ---- */
 
-static bool encode_servers(const GArray *servers, GByteArray *out)
+static GArray *departures_to_wire(const GArray *departed)
 {
+	GArray *out = g_array_new(FALSE, TRUE, sizeof(fleet_departure));
+
+	for (guint i = 0; i < departed->len; i++) {
+		struct cgw_departure *d =
+			&g_array_index(departed, struct cgw_departure, i);
+		fleet_departure w = {
+			.id = d->id,
+			.started_wall_ms = (u_quad_t)d->started_wall_ms,
+			.seq = (u_quad_t)d->seq,
+			.store_era = d->era,
+			.gone = d->gone,
+		};
+
+		g_array_append_val(out, w);
+	}
+	return out;
+}
+
+static bool encode_servers(struct cgw_feed *feed, GByteArray *out)
+{
+	const GArray *servers = cgw_feed_servers(feed);
+	GArray *departed = cgw_feed_departures(feed);
+	GArray *departures = departures_to_wire(departed);
+	GArray *seqs = g_array_new(FALSE, TRUE, sizeof(u_quad_t));
 	GArray *list = g_array_sized_new(FALSE, TRUE, sizeof(fleet_server),
 					 servers->len);
-	fleet_servers all;
+	fleet_servers all = { .store_era = cgw_feed_servers_era(feed) };
 	bool ok;
 	XDR x;
 
@@ -92,17 +118,26 @@
 			.warmup_remaining_ms = (u_int)f->warmup_remaining_ms,
 			.leaving = f->leaving,
 		};
+		u_quad_t seq = (u_quad_t)f->seq;
 
 		g_array_append_val(list, s);
+		g_array_append_val(seqs, seq);
 	}
 	all.servers.servers_val = (void *)list->data;
 	all.servers.servers_len = list->len;
+	all.seqs.seqs_val = (void *)seqs->data;
+	all.seqs.seqs_len = seqs->len;
+	all.departures.departures_val = (void *)departures->data;
+	all.departures.departures_len = departures->len;
 	g_byte_array_set_size(
 		out, (guint)xdr_sizeof((xdrproc_t)xdr_fleet_servers, &all));
 	xdrmem_create(&x, (char *)out->data, out->len, XDR_ENCODE);
 	ok = xdr_fleet_servers(&x, &all);
 	xdr_destroy(&x);
 	g_array_unref(list);
+	g_array_unref(seqs);
+	g_array_unref(departures);
+	g_array_unref(departed);
 	return ok;
 }
 
@@ -125,7 +160,7 @@
 		return b;
 	case RESOURCE_SERVERS:
 		if (cgw_feed_servers_read_at(feed) < 0 ||
-		    !encode_servers(cgw_feed_servers(feed), b))
+		    !encode_servers(feed, b))
 			break;
 		*age = cgw_loop_now(h->gateway->loop) -
 		       cgw_feed_servers_read_at(feed);
@@ -201,14 +236,38 @@
 
 /* ---- fetching ---- */
 
+static void take_departures(struct fetch *f, const fleet_servers *all)
+{
+	GArray *out = g_array_new(FALSE, TRUE, sizeof(struct cgw_departure));
+
+	for (u_int i = 0; i < all->departures.departures_len; i++) {
+		const fleet_departure *w = &all->departures.departures_val[i];
+		struct cgw_departure d = {
+			.started_wall_ms = (int64_t)w->started_wall_ms,
+			.seq = (int64_t)w->seq,
+			.era = w->store_era,
+			.gone = w->gone,
+		};
+
+		g_strlcpy(d.id, w->id, sizeof(d.id));
+		g_array_append_val(out, d);
+	}
+	cgw_feed_take_departures(f->handoff->gateway->feed,
+				 (const void *)out->data, out->len);
+	g_array_unref(out);
+}
+
 static void take_servers(struct fetch *f, cg_ms age)
 {
+	static const guint8 absent[TRAILING_FIELDS_MAX];
 	struct cgw_gateway *g = f->handoff->gateway;
 	fleet_servers all = { 0 };
 	GArray *out = g_array_new(FALSE, TRUE, sizeof(struct cgw_server_facts));
 	bool ok;
 	XDR x;
 
+	/* Fields that an older version does not send read as 0. */
+	g_byte_array_append(f->call.body, absent, sizeof(absent));
 	xdrmem_create(&x, (char *)f->call.body->data, f->call.body->len,
 		      XDR_DECODE);
 	ok = xdr_fleet_servers(&x, &all);
@@ -221,17 +280,22 @@
 			.leaving = s->leaving,
 		};
 
+		if (i < all.seqs.seqs_len)
+			facts.seq = (int64_t)all.seqs.seqs_val[i];
 		g_strlcpy(facts.id, s->id, sizeof(facts.id));
 		g_strlcpy(facts.service, s->service, sizeof(facts.service));
 		g_strlcpy(facts.address, s->address, sizeof(facts.address));
 		g_strlcpy(facts.domain, s->domain, sizeof(facts.domain));
 		g_array_append_val(out, facts);
 	}
-	if (ok)
+	if (ok) {
 		cgw_feed_take_servers(g->feed, (const void *)out->data,
-				      out->len, f->sent_at - age);
-	else
+				      out->len, all.store_era,
+				      f->sent_at - age);
+		take_departures(f, &all);
+	} else {
 		cg_warning("cannot parse the servers from %s", f->call.address);
+	}
 	xdr_free((xdrproc_t)xdr_fleet_servers, &all);
 	xdr_destroy(&x);
 	g_array_unref(out);
--- a/src/rpc/fleet_wire.x
+++ b/src/rpc/fleet_wire.x
@@ -47,6 +47,11 @@
 	 * receiver must read it from the store. */
 	unsigned int config_source_ip;
 	unsigned int domain_daemons; /* that follow the sender, and itself */
+	/* Since version 5: */
+	unsigned hyper store_era; /* highest known to the sender; 0 for none */
+	/* The sender leads, and its last list of the fleet lacks the
+	 * receiver. */
+	bool unlisted;
 };
 
 struct fleet_slot_request {
@@ -141,8 +146,21 @@
 	bool leaving;
 };
 
+/* A server that drains or has left, as its last entry in the store said. */
+struct fleet_departure {
+	fleet_name id;
+	unsigned hyper started_wall_ms;
+	unsigned hyper seq;
+	unsigned hyper store_era; /* of that entry */
+	bool gone; /* the entry was removed */
+};
+
 struct fleet_servers {
 	fleet_server servers<FLEET_SERVERS_MAX>;
+	/* Since version 5: */
+	unsigned hyper store_era; /* of the list; 0 if unknown */
+	unsigned hyper seqs<FLEET_SERVERS_MAX>; /* of the servers' entries */
+	fleet_departure departures<FLEET_SERVERS_MAX>;
 };
 
 /* The sender's share of a client account's rate, in millionths, and the totals
--- a/src/rpc/gen/fleet_wire.h
+++ b/src/rpc/gen/fleet_wire.h
@@ -52,6 +52,8 @@
 	u_int broker_ip;
 	u_int config_source_ip;
 	u_int domain_daemons;
+	u_quad_t store_era;
+	bool_t unlisted;
 };
 typedef struct fleet_pong fleet_pong;
 
@@ -149,11 +151,29 @@
 };
 typedef struct fleet_server fleet_server;
 
+struct fleet_departure {
+	fleet_name id;
+	u_quad_t started_wall_ms;
+	u_quad_t seq;
+	u_quad_t store_era;
+	bool_t gone;
+};
+typedef struct fleet_departure fleet_departure;
+
 struct fleet_servers {
 	struct {
 		u_int servers_len;
 		fleet_server *servers_val;
 	} servers;
+	u_quad_t store_era;
+	struct {
+		u_int seqs_len;
+		u_quad_t *seqs_val;
+	} seqs;
+	struct {
+		u_int departures_len;
+		fleet_departure *departures_val;
+	} departures;
 };
 typedef struct fleet_servers fleet_servers;
 
@@ -251,6 +271,7 @@
 extern  bool_t xdr_fleet_service (XDR *, fleet_service*);
 extern  bool_t xdr_fleet_outcome (XDR *, fleet_outcome*);
 extern  bool_t xdr_fleet_server (XDR *, fleet_server*);
+extern  bool_t xdr_fleet_departure (XDR *, fleet_departure*);
 extern  bool_t xdr_fleet_servers (XDR *, fleet_servers*);
 extern  bool_t xdr_fleet_account_share (XDR *, fleet_account_share*);
 extern  bool_t xdr_fleet_contact (XDR *, fleet_contact*);
@@ -274,6 +295,7 @@
 extern bool_t xdr_fleet_service ();
 extern bool_t xdr_fleet_outcome ();
 extern bool_t xdr_fleet_server ();
+extern bool_t xdr_fleet_departure ();
 extern bool_t xdr_fleet_servers ();
 extern bool_t xdr_fleet_account_share ();
 extern bool_t xdr_fleet_contact ();
--- a/src/rpc/gen/fleet_wire_xdr.c
+++ b/src/rpc/gen/fleet_wire_xdr.c
@@ -79,12 +79,17 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->domain_daemons))
 				 return FALSE;
+
 		} else {
-			IXDR_PUT_U_LONG(buf, objp->capacity);
-			IXDR_PUT_U_LONG(buf, objp->broker_ip);
-			IXDR_PUT_U_LONG(buf, objp->config_source_ip);
-			IXDR_PUT_U_LONG(buf, objp->domain_daemons);
+		IXDR_PUT_U_LONG(buf, objp->capacity);
+		IXDR_PUT_U_LONG(buf, objp->broker_ip);
+		IXDR_PUT_U_LONG(buf, objp->config_source_ip);
+		IXDR_PUT_U_LONG(buf, objp->domain_daemons);
 		}
+		 if (!xdr_u_quad_t (xdrs, &objp->store_era))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->unlisted))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->echo_ms))
@@ -107,12 +112,17 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->domain_daemons))
 				 return FALSE;
+
 		} else {
-			objp->capacity = IXDR_GET_U_LONG(buf);
-			objp->broker_ip = IXDR_GET_U_LONG(buf);
-			objp->config_source_ip = IXDR_GET_U_LONG(buf);
-			objp->domain_daemons = IXDR_GET_U_LONG(buf);
+		objp->capacity = IXDR_GET_U_LONG(buf);
+		objp->broker_ip = IXDR_GET_U_LONG(buf);
+		objp->config_source_ip = IXDR_GET_U_LONG(buf);
+		objp->domain_daemons = IXDR_GET_U_LONG(buf);
 		}
+		 if (!xdr_u_quad_t (xdrs, &objp->store_era))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->unlisted))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -134,6 +144,10 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->domain_daemons))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->store_era))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->unlisted))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -373,6 +387,24 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fleet_departure (XDR *xdrs, fleet_departure *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_fleet_name (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->started_wall_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->seq))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->store_era))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->gone))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fleet_servers (XDR *xdrs, fleet_servers *objp)
 {
@@ -381,6 +413,14 @@
 	 if (!xdr_array (xdrs, (char **)&objp->servers.servers_val, (u_int *) &objp->servers.servers_len, FLEET_SERVERS_MAX,
 		sizeof (fleet_server), (xdrproc_t) xdr_fleet_server))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->store_era))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->seqs.seqs_val, (u_int *) &objp->seqs.seqs_len, FLEET_SERVERS_MAX,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->departures.departures_val, (u_int *) &objp->departures.departures_len, FLEET_SERVERS_MAX,
+		sizeof (fleet_departure), (xdrproc_t) xdr_fleet_departure))
+		 return FALSE;
 	return TRUE;
 }
 
