Split the reads that the fleet starts from its members

fleet_reads.c decides when the store and other daemons are read (cgw_fleet_check_proof(), cgw_fleet_check_servers()); the functions are moved unchanged. What they need of the choice of the leader got the prefix cgw_fleet_; two comparisons of ranks became cgw_fleet_ranks_before().

--- a/src/gateway/fleet_internal.h
+++ b/src/gateway/fleet_internal.h
@@ -1,7 +1,9 @@
 /**
  * @file fleet_internal.h
  * Declarations shared by the files of the fleet: fleet_members.c (liveness of
- * the daemons and choice of the leader), fleet_heartbeat.c (heartbeats between
+ * the daemons and choice of the leader), fleet_reads.c (when the store and other
+ * daemons are read), fleet_era.c (return of the store from an older copy),
+ * fleet_heartbeat.c (heartbeats between
  * the brokers of the domains), fleet_slots.c (slot requests and decisions),
  * fleet_messages.c (datagrams) and fleet.c.
  */
@@ -229,6 +231,22 @@
 unsigned int cgw_fleet_follower_count(struct cgw_fleet *f);
 /** Tells those that lead next when this leader can or cannot read the store. */
 void cgw_fleet_report_eligibility(struct cgw_fleet *f);
+/** Returns the other daemons of the own domain, those that lead first at the
+ * beginning; owned by the fleet. */
+GPtrArray *cgw_fleet_ranking(struct cgw_fleet *f);
+/** Returns whether @p a leads before @p b among equally eligible daemons; NULL is
+ * this daemon. */
+bool cgw_fleet_ranks_before(struct cgw_fleet *f, const struct cgw_member *a,
+			    const struct cgw_member *b);
+/** Returns whether this daemon is among those that lead if the leader fails. */
+bool cgw_fleet_leads_next(struct cgw_fleet *f);
+bool cgw_fleet_is_alive(struct cgw_fleet *f, const struct cgw_member *m);
+/** Returns whether a member has last reported that it cannot read the store. */
+bool cgw_fleet_cannot_read_store(const struct cgw_member *m);
+/** Returns the version of the own configuration; 0 for none. */
+uint64_t cgw_fleet_config_version(struct cgw_fleet *f);
+
+/* fleet_reads.c */
 /** Fetches the list of servers from another daemon if this one is among those
  * that lead next, or if it leads and cannot read the store. */
 void cgw_fleet_check_servers(struct cgw_fleet *f);
--- a/src/gateway/fleet_members.c
+++ b/src/gateway/fleet_members.c
@@ -129,6 +129,12 @@
 		 : (struct rank){ f->capacity, f->ip };
 }
 
+bool cgw_fleet_ranks_before(struct cgw_fleet *f, const struct cgw_member *a,
+			    const struct cgw_member *b)
+{
+	return compare_rank(rank_of(f, a), rank_of(f, b)) < 0;
+}
+
 static gint compare_members(gconstpointer a, gconstpointer b)
 {
 	const struct cgw_member *x = *(struct cgw_member *const *)a;
@@ -140,7 +146,7 @@
 
 /* Returns the other daemons of the own domain, those that lead first at the
  * beginning. */
-static GPtrArray *ranking(struct cgw_fleet *f)
+GPtrArray *cgw_fleet_ranking(struct cgw_fleet *f)
 {
 	GHashTableIter it;
 	gpointer value;
@@ -158,9 +164,9 @@
 }
 
 /* Whether this daemon is among those that lead if the leader fails. */
-static bool leads_next(struct cgw_fleet *f)
+bool cgw_fleet_leads_next(struct cgw_fleet *f)
 {
-	GPtrArray *a = ranking(f);
+	GPtrArray *a = cgw_fleet_ranking(f);
 
 	return a->len <= CANDIDATE_COUNT ||
 	       compare_rank(rank_of(f, NULL),
@@ -189,7 +195,7 @@
 	return reads ? CGW_ELIGIBILITY_FULL : CGW_ELIGIBILITY_NO_STORE;
 }
 
-static uint64_t own_config_version(struct cgw_fleet *f)
+uint64_t cgw_fleet_config_version(struct cgw_fleet *f)
 {
 	struct cgw_table *t = cgw_feed_table(*f->feed);
 
@@ -202,7 +208,7 @@
 static struct in_addr choose_config_source(struct cgw_fleet *f)
 {
 	cg_ms now = cgw_loop_now(f->loop);
-	uint64_t version = own_config_version(f);
+	uint64_t version = cgw_fleet_config_version(f);
 	struct in_addr chosen = f->ip;
 	guint n = 1;
 	GHashTableIter it;
@@ -260,7 +266,7 @@
 		h->remaining_ms = (u_int)MAX(0, s->request.deadline - now);
 		p->held_slots.held_slots_len++;
 	}
-	p->config_version = own_config_version(f);
+	p->config_version = cgw_fleet_config_version(f);
 	p->capacity = f->capacity;
 	m->last_ping_at = now;
 	cgw_fleet_send(f, m->ip, &b);
@@ -277,7 +283,7 @@
 
 	p->echo_ms = echo;
 	p->eligibility = own_eligibility(f);
-	p->config_version = own_config_version(f);
+	p->config_version = cgw_fleet_config_version(f);
 	p->proof_age_ms = proved < 0 ? -1
 				     : (int)MIN(cgw_loop_now(f->loop) - proved,
 						(cg_ms)G_MAXINT);
@@ -304,7 +310,7 @@
 /* Returns whether a daemon counts as alive. The leader is pinged most often, so
  * its timeout is the shortest. After a wait before a change of leader, only
  * daemons that have answered since its start count. */
-static bool is_alive(struct cgw_fleet *f, const struct cgw_member *m)
+bool cgw_fleet_is_alive(struct cgw_fleet *f, const struct cgw_member *m)
 {
 	cg_ms age = cgw_loop_now(f->loop) - m->last_pong_at;
 
@@ -319,7 +325,7 @@
  * find out by pings. */
 static void announce_leadership(struct cgw_fleet *f)
 {
-	GPtrArray *a = ranking(f);
+	GPtrArray *a = cgw_fleet_ranking(f);
 
 	for (guint i = 0; i < a->len; i++) {
 		struct cgw_member *m = g_ptr_array_index(a, i);
@@ -366,7 +372,7 @@
 
 	if (cgw_fleet_is_self(f, name))
 		return f->leaving ? best : NULL;
-	return m && is_alive(f, m) && cgw_fleet_own_domain(f, m) &&
+	return m && cgw_fleet_is_alive(f, m) && cgw_fleet_own_domain(f, m) &&
 			       m->eligibility == CGW_ELIGIBILITY_NO_STORE
 		       ? m
 		       : best;
@@ -386,7 +392,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct cgw_member *m = value;
 
-		if (!cgw_fleet_own_domain(f, m) || !is_alive(f, m) ||
+		if (!cgw_fleet_own_domain(f, m) || !cgw_fleet_is_alive(f, m) ||
 		    m->eligibility < best_eligibility ||
 		    (m->eligibility == best_eligibility &&
 		     compare_rank(rank_of(f, m), best_rank) > 0))
@@ -444,7 +450,7 @@
 
 static void ping_best(struct cgw_fleet *f)
 {
-	GPtrArray *a = ranking(f);
+	GPtrArray *a = cgw_fleet_ranking(f);
 
 	for (guint i = 0; i < a->len && i < BEST_COUNT; i++)
 		cgw_fleet_send_ping(f, g_ptr_array_index(a, i));
@@ -461,7 +467,7 @@
 	cg_ms now = cgw_loop_now(f->loop);
 	bool is_best = position < BEST_COUNT;
 
-	if (!own_config_version(f) && (m == leader || is_best) &&
+	if (!cgw_fleet_config_version(f) && (m == leader || is_best) &&
 	    now - f->started_at < FAST_START_MS)
 		return PING_FAST_INTERVAL_MS;
 	if (m == leader)
@@ -487,7 +493,7 @@
 	bool leader_degraded =
 		leader ? leader->eligibility != CGW_ELIGIBILITY_FULL
 		       : own_eligibility(f) != CGW_ELIGIBILITY_FULL;
-	GPtrArray *a = ranking(f);
+	GPtrArray *a = cgw_fleet_ranking(f);
 
 	if (!leader_lost)
 		f->leader_lost_at = 0;
@@ -564,7 +570,7 @@
 void cgw_fleet_report_eligibility(struct cgw_fleet *f)
 {
 	int eligibility = own_eligibility(f);
-	GPtrArray *a = ranking(f);
+	GPtrArray *a = cgw_fleet_ranking(f);
 
 	if (!f->leading || eligibility == f->reported_eligibility)
 		return;
@@ -580,129 +586,12 @@
 	}
 }
 
-static bool cannot_read_store(const struct cgw_member *m)
+bool cgw_fleet_cannot_read_store(const struct cgw_member *m)
 {
 	return m->eligibility == CGW_ELIGIBILITY_NO_STORE ||
 	       m->eligibility == CGW_ELIGIBILITY_NO_CONFIG_NO_STORE;
 }
 
-/* Those that lead next try one after the other, so that not all of them take
- * over at once. */
-static cg_ms takeover_delay(struct cgw_fleet *f,
-			    const struct cgw_member *leader)
-{
-	GPtrArray *a = ranking(f);
-	cg_ms delay = 0;
-
-	for (guint i = 0; i < a->len; i++) {
-		const struct cgw_member *m = g_ptr_array_index(a, i);
-
-		if (compare_rank(rank_of(f, m), rank_of(f, NULL)) > 0)
-			break;
-		if (m != leader)
-			delay += TAKEOVER_STEP_MS;
-	}
-	return delay;
-}
-
-void cgw_fleet_check_proof(struct cgw_fleet *f)
-{
-	cg_ms now = cgw_loop_now(f->loop);
-	struct cgw_member *leader = cgw_fleet_member(f, f->leader);
-	cg_ms interval = PROOF_READ_INTERVAL_MS;
-
-	/* Those that lead next read the configuration at once after the start,
-	 * for the whole domain. */
-	if (f->listed && !own_config_version(f) && !f->next_store_read_at &&
-	    now - f->started_at >= (ranking(f)->len > CANDIDATE_COUNT
-					    ? START_READ_DELAY_MS
-					    : START_READ_ALONE_MS) &&
-	    leads_next(f)) {
-		f->next_store_read_at = now + interval;
-		cgw_feed_refresh(*f->feed);
-		return;
-	}
-	/* A daemon that ranks better than the leader shows that it can read the
-	 * store, and leads. */
-	if (leader && leads_next(f) && now >= f->next_store_read_at &&
-	    !f->leaving &&
-	    compare_rank(rank_of(f, NULL), rank_of(f, leader)) < 0) {
-		f->next_store_read_at = now + TAKEOVER_READ_INTERVAL_MS;
-		cgw_feed_refresh(*f->feed);
-		return;
-	}
-	/* The leader cannot read the store: those that lead next try at once. */
-	if (leader && is_alive(f, leader) && cannot_read_store(leader) &&
-	    leads_next(f) && now >= f->next_store_read_at &&
-	    f->leader_degraded_at &&
-	    now - f->leader_degraded_at >= takeover_delay(f, leader)) {
-		f->next_store_read_at = now + interval;
-		cgw_feed_refresh(*f->feed);
-		return;
-	}
-	if (!leader ||
-	    (now - cgw_feed_proved_at(*f->feed) <= PROOF_MAX_AGE_MS &&
-	     !(f->leader_degraded_at &&
-	       now - f->leader_degraded_at >= TAKEOVER_OPEN_MS)) ||
-	    (leader->eligibility == CGW_ELIGIBILITY_NO_CONFIG &&
-	     is_alive(f, leader)))
-		return;
-	/* The leader has the proof; the configuration is being fetched. */
-	if (is_alive(f, leader) && !f->leader_degraded_at &&
-	    leader->proved_at >= 0 &&
-	    now - leader->proved_at <= PROOF_MAX_AGE_MS &&
-	    cgw_handoff_failures(f->handoff) < HANDOFF_FAILURES_MAX)
-		return;
-	if (!leads_next(f))
-		interval = MAX(interval,
-			       PROOF_READ_SHARE_MS * (cg_ms)f->domain_daemons);
-	if (now < f->next_store_read_at)
-		return;
-	/* The first read of a daemon that has many others beside it comes at a
-	 * random time, so that they do not all read at once. */
-	if (!f->next_store_read_at && interval > PROOF_READ_INTERVAL_MS) {
-		f->next_store_read_at =
-			now + (cg_ms)(g_random_double() * (double)interval);
-		return;
-	}
-	f->next_store_read_at =
-		now + (cg_ms)((0.5 + g_random_double()) * (double)interval);
-	cgw_feed_refresh(*f->feed);
-}
-
-void cgw_fleet_check_servers(struct cgw_fleet *f)
-{
-	cg_ms now = cgw_loop_now(f->loop);
-	struct cgw_member *leader = cgw_fleet_member(f, f->leader);
-	cg_ms read_at = cgw_feed_servers_read_at(*f->feed);
-	const struct other_broker *chosen = NULL;
-	guint seen = 0;
-	GHashTableIter it;
-	gpointer value;
-
-	if (leader && !f->leading) {
-		if ((read_at >= 0 &&
-		     now - read_at < SERVERS_COPY_INTERVAL_MS) ||
-		    now - f->servers_fetched_at < SERVERS_ASK_INTERVAL_MS ||
-		    !is_alive(f, leader) || !leads_next(f))
-			return;
-		f->servers_fetched_at = now;
-		cgw_handoff_fetch_servers(f->handoff, leader->ip);
-		return;
-	}
-	if (!f->leading || read_at >= 0 || cgw_feed_is_healthy(*f->feed) ||
-	    now - f->servers_fetched_at < SERVERS_ASK_INTERVAL_MS)
-		return;
-	f->servers_fetched_at = now;
-	/* A random one, since the first may have failed. */
-	g_hash_table_iter_init(&it, f->other_brokers);
-	while (g_hash_table_iter_next(&it, NULL, &value))
-		if (g_random_int() % ++seen == 0)
-			chosen = value;
-	if (chosen)
-		cgw_handoff_fetch_servers(f->handoff, chosen->ip);
-}
-
 void cgw_fleet_handle_ping(struct cgw_fleet *f, struct cgw_member *m,
 			   const fleet_ping *p)
 {
@@ -784,12 +673,12 @@
 	if (!strcmp(m->name, f->leader)) {
 		if (p->domain_daemons)
 			f->domain_daemons = p->domain_daemons;
-		if (!cannot_read_store(m))
+		if (!cgw_fleet_cannot_read_store(m))
 			f->leader_degraded_at = 0;
 		else if (!f->leader_degraded_at)
 			f->leader_degraded_at = cgw_loop_now(f->loop);
 	}
-	if (p->config_version > own_config_version(f)) {
+	if (p->config_version > cgw_fleet_config_version(f)) {
 		if (p->config_source_ip &&
 		    cgw_handoff_failures(f->handoff) < HANDOFF_FAILURES_MAX)
 			cgw_handoff_fetch_config(f->handoff, source,
