Shorten the settling time of an era, and test a partition during a return

Cause: draining_server_is_not_used_until_it_writes_anew failed in one of six runs with the settling time of 1,500 ms: one request got 503 after its broker was killed and the store was away for 600 ms. The log line of that request was lost with the process; by the times of the others the last proof (key_proof_ms 3,000) ended before the first one after the settling time.

Change: 1,000 ms, in which the brokers ping each other four times. The stand-in of the store has a second port that can be cut off, for the new test withdrawn_key_stays_withdrawn_after_a_partition: a domain that was cut off while a key was withdrawn finds its own version in the copy. The stand-in freed no changes before a 410 to a watch that had waited (336 bytes, seen by LeakSanitizer).

--- a/src/gateway/feed_era.c
+++ b/src/gateway/feed_era.c
@@ -11,8 +11,10 @@
  * better. See docs/design/store-era.md. */
 
 /* Reads that start earlier after a change of era prove nothing. The brokers ping
- * each other, and their followers them, several times in it. */
-#define SETTLE_MS 1500
+ * each other four times in it, and their followers them three times. With
+ * 1,500 ms, 600 ms without the store and a change of broker, the last proof could
+ * be too old (key_proof_ms 3,000) before the next one. */
+#define SETTLE_MS 1000
 /* The same after the era becomes known: by then a daemon that has just started
  * leads (400 ms) and has pinged the other domains. */
 #define SETTLE_START_MS 800
--- a/standins/support/object_store.c
+++ b/standins/support/object_store.c
@@ -35,6 +35,8 @@
 struct objects {
 	GMutex lock;
 	struct MHD_Daemon *http;
+	struct MHD_Daemon *second; /* Or NULL. */
+	_Atomic bool second_cut;
 	GPtrArray *entries; /* struct entry, sorted by kind and name. */
 	GPtrArray *history; /* struct change, oldest first. */
 	uint64_t rev;
@@ -393,6 +395,7 @@
 		g_mutex_lock(&o->lock);
 		if (since < o->compacted_rev || since > o->rev) {
 			g_mutex_unlock(&o->lock);
+			json_object_put(events);
 			return reply(o, c, 410, NULL);
 		}
 		json_object_put(events);
@@ -519,6 +522,10 @@
 	(void)version;
 	if (!sh_collect_body(ctx, data, size))
 		return MHD_YES;
+	if (o->second_cut &&
+	    MHD_get_connection_info(c, MHD_CONNECTION_INFO_DAEMON)->daemon ==
+		    o->second)
+		return MHD_NO;
 	o->calls++;
 	if (o->fault == OBJECTS_FAULT_503 || o->fault == OBJECTS_FAULT_429)
 		return reply(o, c, o->fault == OBJECTS_FAULT_503 ? 503 : 429,
@@ -572,6 +579,8 @@
 	o->stopping = true;
 	if (o->http)
 		MHD_stop_daemon(o->http);
+	if (o->second)
+		MHD_stop_daemon(o->second);
 	g_ptr_array_unref(o->entries);
 	if (o->copy)
 		g_ptr_array_unref(o->copy);
@@ -583,3 +592,18 @@
 {
 	return MHD_get_daemon_info(o->http, MHD_DAEMON_INFO_BIND_PORT)->port;
 }
+
+uint16_t objects_second_port(struct objects *o)
+{
+	if (!o->second)
+		o->second = sh_listen(0, NULL, NULL, handle, o);
+	return o->second ? MHD_get_daemon_info(o->second,
+					       MHD_DAEMON_INFO_BIND_PORT)
+				   ->port
+			 : 0;
+}
+
+void objects_cut_second_port(struct objects *o, bool cut)
+{
+	o->second_cut = cut;
+}
--- a/standins/support/object_store.h
+++ b/standins/support/object_store.h
@@ -36,6 +36,13 @@
 /** Returns the port that the store listens on. */
 uint16_t objects_port(struct objects *o);
 
+/** Starts a second port, which objects_cut_second_port() can cut off, and returns
+ * it; 0 if that fails. */
+uint16_t objects_second_port(struct objects *o);
+
+/** Calls to the second port get no response while @p cut is set. */
+void objects_cut_second_port(struct objects *o, bool cut);
+
 /** Injects a fault into all calls until it is replaced. */
 void objects_set_fault(struct objects *o, enum objects_fault fault);
 
--- a/tests/support/gateway_fleet.c
+++ b/tests/support/gateway_fleet.c
@@ -60,7 +60,8 @@
 		" \"grace_ms\": 6000, /* comments are allowed */"
 		" \"log_level\": \"info\" }",
 		cpu_share, i, domain_index(f, i) ? "b" : "a", ip, ip, f->ports,
-		ip, f->ports + 1, f->ports + 2, objects_port(f->store));
+		ip, f->ports + 1, f->ports + 2,
+		f->store_port[i] ? f->store_port[i] : objects_port(f->store));
 	assert_true(g_file_set_contents(path, text, -1, NULL));
 	g_free(text);
 	g_free(path);
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -28,6 +28,8 @@
 	unsigned int max_body_bytes;
 	/** Settings of the daemons from their next start on; 0: left out. */
 	double cpu_share[GF_DAEMONS];
+	/** Port of the store in a daemon's settings; 0: its first one. */
+	uint16_t store_port[GF_DAEMONS];
 	/** Limit of a daemon's descriptors from its next start on; 0: the
 	 * test's own. */
 	unsigned int descriptors[GF_DAEMONS];
--- a/tests/test_system_store_era.c
+++ b/tests/test_system_store_era.c
@@ -24,6 +24,9 @@
 /* A broker that has taken over hears from the others what it must not use. */
 #define SETTLE_MS 1500
 #define CALM_MS	  4000
+/* The daemons refuse requests with keys when they have not reached the store for
+ * so long. */
+#define KEY_PROOF_MS 3500
 
 static void sleep_ms(unsigned int ms)
 {
@@ -170,6 +173,42 @@
 	gf_stop(&f);
 }
 
+/* The daemons of a domain are cut off from the store while a key is withdrawn. When
+ * they reach it again, it has returned from a copy that shows the version which
+ * they have: they would take that for the latest. */
+static void withdrawn_key_stays_withdrawn_after_a_partition(void **state)
+{
+	struct gateway_fleet f;
+	gint64 end;
+
+	(void)state;
+	start(&f);
+	for (unsigned int i = DAEMONS / 2; i < DAEMONS; i++) {
+		f.store_port[i] = objects_second_port(f.store);
+		assert_int_not_equal(f.store_port[i], 0);
+		stop_daemon(&f, i);
+		gf_write_settings(&f, i);
+		gf_start_daemon(&f, i);
+	}
+	gf_wait_ready(&f);
+	objects_save_copy(f.store);
+	objects_cut_second_port(f.store, true);
+	sleep_ms(KEY_PROOF_MS);
+	gf_put_config(&f, false, 0, 0, "");
+	wait_for_status(&f, 0, 401);
+	return_from_copy(&f);
+	objects_cut_second_port(f.store, false);
+	end = now_ms() + CALM_MS;
+	while (now_ms() < end)
+		for (unsigned int i = 0; i < DAEMONS; i++)
+			assert_int_not_equal(gf_get(&f, i).status, 200);
+	f.version -= 3;
+	gf_put_config(&f, false, 0, 0, "");
+	for (unsigned int i = 0; i < DAEMONS; i++)
+		wait_for_status(&f, i, 401);
+	gf_stop(&f);
+}
+
 /* The server reports that it drains after the copy was made. Its broker lives on,
  * or is killed while the store is away. */
 static void draining_server_is_not_used_until_it_writes_anew(void **state)
@@ -212,6 +251,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(lost_entries_and_secret_are_written_again),
 		cmocka_unit_test(withdrawn_key_stays_withdrawn_after_a_restart),
+		cmocka_unit_test(
+			withdrawn_key_stays_withdrawn_after_a_partition),
 		cmocka_unit_test(
 			draining_server_is_not_used_until_it_writes_anew),
 	};
