--- a/src/gateway/fleet_internal.h
+++ b/src/gateway/fleet_internal.h
@@ -1,9 +1,11 @@
 /**
  * @file fleet_internal.h
  * Declarations shared by the files of the fleet: fleet_members.c (liveness of
- * the daemons and choice of the leader), fleet_heartbeat.c (heartbeats between
- * the brokers of the domains), fleet_evacuation.c (whether the own domain is
- * evacuated), fleet_slots.c (slot requests and decisions),
+ * the daemons and choice of the leader), fleet_reads.c (when the store and other
+ * daemons are read), fleet_era.c (return of the store from an older copy),
+ * fleet_heartbeat.c (heartbeats between the brokers of the domains),
+ * fleet_evacuation.c (whether the own domain is evacuated), fleet_slots.c (slot
+ * requests and decisions),
  * fleet_messages.c (datagrams) and fleet.c.
  */
 #ifndef CELERYGLADE_GATEWAY_FLEET_INTERNAL_H
@@ -130,6 +132,8 @@
 	unsigned int capacity; /* of its machine */
 	uint64_t config_version; /* from its last ping or pong */
 	cg_ms proved_at; /* from its last pong; -1 for none */
+	cg_ms added_at;
+	cg_ms listed_at; /* last list of the fleet with its entry; 0: none */
 };
 
 struct cgw_fleet {
@@ -146,6 +150,9 @@
 	 * it can. */
 	cg_ms leader_degraded_at;
 	bool listed; /* the fleet has been listed once */
+	/* Last list of the fleet after a return of the store; 0: none */
+	cg_ms relisted_at;
+	cg_ms config_fetched_at; /* last fetch from another domain */
 	uint64_t incarnation;
 	struct cgw_io io;
 	struct in_addr ip;
@@ -203,8 +210,8 @@
 bool cgw_fleet_own_domain(struct cgw_fleet *f, const struct cgw_member *m);
 void cgw_fleet_send_ping(struct cgw_fleet *f, struct cgw_member *m);
 /** @p version is the configuration that the receiver has. */
-void cgw_fleet_send_pong(struct cgw_fleet *f, struct in_addr to, uint64_t echo,
-			 uint64_t version);
+void cgw_fleet_send_pong(struct cgw_fleet *f, const struct cgw_member *to,
+			 uint64_t echo, uint64_t version);
 void cgw_fleet_handle_ping(struct cgw_fleet *f, struct cgw_member *m,
 			   const fleet_ping *p);
 void cgw_fleet_handle_pong(struct cgw_fleet *f, struct cgw_member *m,
@@ -228,6 +235,22 @@
 unsigned int cgw_fleet_follower_count(struct cgw_fleet *f);
 /** Tells those that lead next when this leader can or cannot read the store. */
 void cgw_fleet_report_eligibility(struct cgw_fleet *f);
+/** Returns the other daemons of the own domain, those that lead first at the
+ * beginning; owned by the fleet. */
+GPtrArray *cgw_fleet_ranking(struct cgw_fleet *f);
+/** Returns whether @p a leads before @p b among equally eligible daemons; NULL is
+ * this daemon. */
+bool cgw_fleet_ranks_before(struct cgw_fleet *f, const struct cgw_member *a,
+			    const struct cgw_member *b);
+/** Returns whether this daemon is among those that lead if the leader fails. */
+bool cgw_fleet_leads_next(struct cgw_fleet *f);
+bool cgw_fleet_is_alive(struct cgw_fleet *f, const struct cgw_member *m);
+/** Returns whether a member has last reported that it cannot read the store. */
+bool cgw_fleet_cannot_read_store(const struct cgw_member *m);
+/** Returns the version of the own configuration; 0 for none. */
+uint64_t cgw_fleet_config_version(struct cgw_fleet *f);
+
+/* fleet_reads.c */
 /** Fetches the list of servers from another daemon if this one is among those
  * that lead next, or if it leads and cannot read the store. */
 void cgw_fleet_check_servers(struct cgw_fleet *f);
@@ -235,6 +258,21 @@
  * latest. */
 void cgw_fleet_check_proof(struct cgw_fleet *f);
 
+/* fleet_era.c */
+/** Records what a list of the fleet, read after the store has returned from an
+ * older copy, says of a member. */
+void cgw_fleet_record_listed(struct cgw_fleet *f, const char *name,
+			     struct in_addr ip);
+/** Returns whether the list that this leader has read after the store returned
+ * lacks a member of its domain. */
+bool cgw_fleet_is_unlisted(struct cgw_fleet *f, const struct cgw_member *m);
+/** Records what a pong says of the store. */
+void cgw_fleet_record_store(struct cgw_fleet *f, const struct cgw_member *m,
+			    const fleet_pong *p);
+/** After a change of era, asks the brokers of the other domains what they know and
+ * the store does not. */
+void cgw_fleet_check_era(struct cgw_fleet *f);
+
 /* fleet_heartbeat.c */
 /** Returns whether the list of servers is recent enough to serve requests of
  * other domains. */
--- a/src/rpc/fleet_wire.x
+++ b/src/rpc/fleet_wire.x
@@ -54,6 +54,10 @@
 	/* Since version 5: whether the sender's domain is evacuated. */
 	int evacuation; /* FLEET_EVACUATION_* */
 	unsigned int evacuation_age_ms; /* since the start of that read */
+	unsigned hyper store_era; /* highest known to the sender; 0 for none */
+	/* The sender leads, and its last list of the fleet lacks the
+	 * receiver. */
+	bool unlisted;
 };
 
 struct fleet_slot_request {
@@ -152,8 +156,20 @@
 	bool leaving;
 };
 
+/* A server that drains or has left, as its last entry in the store said. */
+struct fleet_departure {
+	fleet_name id;
+	unsigned hyper started_wall_ms;
+	unsigned hyper seq;
+	unsigned hyper store_era; /* of that entry */
+	bool gone; /* the entry was removed */
+};
+
 struct fleet_servers {
 	fleet_server servers<FLEET_SERVERS_MAX>;
+	unsigned hyper store_era; /* of the list; 0 if unknown */
+	unsigned hyper seqs<FLEET_SERVERS_MAX>; /* of the servers' entries */
+	fleet_departure departures<FLEET_SERVERS_MAX>;
 };
 
 /* What a broker has learnt of the work of requests. */
--- a/src/rpc/gen/fleet_wire.h
+++ b/src/rpc/gen/fleet_wire.h
@@ -57,6 +57,8 @@
 	u_int domain_daemons;
 	int evacuation;
 	u_int evacuation_age_ms;
+	u_quad_t store_era;
+	bool_t unlisted;
 };
 typedef struct fleet_pong fleet_pong;
 
@@ -157,11 +159,29 @@
 };
 typedef struct fleet_server fleet_server;
 
+struct fleet_departure {
+	fleet_name id;
+	u_quad_t started_wall_ms;
+	u_quad_t seq;
+	u_quad_t store_era;
+	bool_t gone;
+};
+typedef struct fleet_departure fleet_departure;
+
 struct fleet_servers {
 	struct {
 		u_int servers_len;
 		fleet_server *servers_val;
 	} servers;
+	u_quad_t store_era;
+	struct {
+		u_int seqs_len;
+		u_quad_t *seqs_val;
+	} seqs;
+	struct {
+		u_int departures_len;
+		fleet_departure *departures_val;
+	} departures;
 };
 typedef struct fleet_servers fleet_servers;
 #define FLEET_WORK_MAX 1024
@@ -303,6 +323,7 @@
 extern  bool_t xdr_fleet_service (XDR *, fleet_service*);
 extern  bool_t xdr_fleet_outcome (XDR *, fleet_outcome*);
 extern  bool_t xdr_fleet_server (XDR *, fleet_server*);
+extern  bool_t xdr_fleet_departure (XDR *, fleet_departure*);
 extern  bool_t xdr_fleet_servers (XDR *, fleet_servers*);
 extern  bool_t xdr_fleet_work_entry (XDR *, fleet_work_entry*);
 extern  bool_t xdr_fleet_work_route (XDR *, fleet_work_route*);
@@ -330,6 +351,7 @@
 extern bool_t xdr_fleet_service ();
 extern bool_t xdr_fleet_outcome ();
 extern bool_t xdr_fleet_server ();
+extern bool_t xdr_fleet_departure ();
 extern bool_t xdr_fleet_servers ();
 extern bool_t xdr_fleet_work_entry ();
 extern bool_t xdr_fleet_work_route ();
--- a/tests/support/gateway_fleet.c
+++ b/tests/support/gateway_fleet.c
@@ -65,7 +65,8 @@
 		" \"log_level\": \"info\" }",
 		cpu_share, evacuation, f->settings ? f->settings : "", i,
 		domain_index(f, i) ? "b" : "a", ip, ip, f->ports, ip,
-		f->ports + 1, f->ports + 2, objects_port(f->store));
+		f->ports + 1, f->ports + 2,
+		f->store_port[i] ? f->store_port[i] : objects_port(f->store));
 	assert_true(g_file_set_contents(path, text, -1, NULL));
 	g_free(text);
 	g_free(path);
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -32,6 +32,8 @@
 	/** Further members of the settings files that are written from now on,
 	 * each with a comma after it; NULL: none. */
 	const char *settings;
+	/** Port of the store in a daemon's settings; 0: its first one. */
+	uint16_t store_port[GF_DAEMONS];
 	/** Limit of a daemon's descriptors from its next start on; 0: the
 	 * test's own. */
 	unsigned int descriptors[GF_DAEMONS];
