Keep an evacuation while the store may lack it

Cause: a store that returns from an older copy answers 404 for an evacuation that was written since, which ended it. Change: for 3 s after the era has risen an absent object does not end an evacuation. Result: older_copy_does_not_end_an_evacuation; test_evacuations 15 of 15, test_system_evacuation 3 of 3.

--- a/include/gateway/evacuations.h
+++ b/include/gateway/evacuations.h
@@ -19,6 +19,8 @@
 	cg_ms reading_since; /**< When this daemon began to read. */
 	bool failing; /**< The last read by this daemon failed. */
 	cg_ms retry_delay; /**< 0 unless the last read failed. */
+	uint64_t era; /**< Of the store, as its last response says; 0: none. */
+	cg_ms era_began_at; /**< When a later era was first seen; -1: never. */
 };
 
 void cgw_evacuation_init(struct cgw_evacuation_state *s, cg_ms bound_ms);
@@ -28,6 +30,11 @@
  * one than the latest is ignored. Returns whether the state changed. */
 bool cgw_evacuation_record(struct cgw_evacuation_state *s, bool evacuated,
 			   cg_ms read_at);
+/** Records the era of a response of the store. Returns whether a response that
+ * shows no evacuation may be believed: a store that has returned from an older copy
+ * lacks an evacuation until the operators have written it again. */
+bool cgw_evacuation_record_era(struct cgw_evacuation_state *s, uint64_t era,
+			       cg_ms now);
 /** Records that a read by this daemon succeeded or failed. Returns the time of
  * the next read, which began at @p sent_at. */
 cg_ms cgw_evacuation_schedule(struct cgw_evacuation_state *s, bool ok,
--- a/src/gateway/evacuation_state.c
+++ b/src/gateway/evacuation_state.c
@@ -14,11 +14,15 @@
 /* While reads fail the last known state is valid; a daemon that was suspended
  * for longer than this reads the store again first. */
 #define FAILING_VALID_MS 1000
+/* Time that the operators have to write again what an older copy of the store
+ * lacks. */
+#define REWRITE_MS 3000
 
 void cgw_evacuation_init(struct cgw_evacuation_state *s, cg_ms bound_ms)
 {
 	*s = (struct cgw_evacuation_state){ .bound_ms = bound_ms,
-					    .read_at = -1 };
+					    .read_at = -1,
+					    .era_began_at = -1 };
 }
 
 void cgw_evacuation_begin(struct cgw_evacuation_state *s, cg_ms now)
@@ -40,6 +44,19 @@
 	return changed;
 }
 
+bool cgw_evacuation_record_era(struct cgw_evacuation_state *s, uint64_t era,
+			       cg_ms now)
+{
+	if (era && era < s->era)
+		return false;
+	if (s->era && era > s->era)
+		s->era_began_at = now;
+	if (era)
+		s->era = era;
+	return !s->evacuated || s->era_began_at < 0 ||
+	       now - s->era_began_at >= REWRITE_MS;
+}
+
 cg_ms cgw_evacuation_schedule(struct cgw_evacuation_state *s, bool ok,
 			      cg_ms sent_at, cg_ms now)
 {
--- a/src/gateway/evacuations.c
+++ b/src/gateway/evacuations.c
@@ -35,15 +35,28 @@
 			e->settings->domain);
 }
 
+static uint64_t era_of_response(const struct cgw_evacuations *e)
+{
+	const char *name = e->format->era_header;
+	const char *text = name ? cgw_call_header(&e->call, name) : NULL;
+
+	return text ? g_ascii_strtoull(text, NULL, 10) : 0;
+}
+
 /* Returns 0 and records the state if the response tells it. */
 static int handle_response(struct cgw_evacuations *e)
 {
 	const struct cgw_call *c = &e->call;
 	char *reason = NULL;
+	bool may_end;
 
 	if (c->outcome != CGW_CALL_RESPONDED ||
 	    (c->status != 404 && c->status / 100 != 2))
 		return -1;
+	may_end = cgw_evacuation_record_era(&e->state, era_of_response(e),
+					    cgw_loop_now(e->loop));
+	if (c->status == 404 && !may_end)
+		return -1;
 	if (c->status != 404 &&
 	    e->format->read_evacuation((const char *)c->body->data,
 				       c->body->len, e->settings->domain,
--- a/tests/test_evacuations.c
+++ b/tests/test_evacuations.c
@@ -57,6 +57,25 @@
 	assert_in_range(reads, 15, 21);
 }
 
+/* The store returns from a copy that lacks the evacuation. The servers must not be
+ * used until the operators have written it again. */
+static void older_copy_does_not_end_an_evacuation(void **state)
+{
+	struct cgw_evacuation_state s;
+
+	(void)state;
+	cgw_evacuation_init(&s, BOUND_MS);
+	cgw_evacuation_begin(&s, 1000);
+	assert_true(cgw_evacuation_record_era(&s, 7, 1000));
+	assert_true(cgw_evacuation_record(&s, true, 1000));
+	assert_true(cgw_evacuation_record_era(&s, 7, 2000));
+	assert_false(cgw_evacuation_record_era(&s, 8, 4000));
+	assert_false(cgw_evacuation_record_era(&s, 8, 6500));
+	/* A late response of the former era. */
+	assert_false(cgw_evacuation_record_era(&s, 7, 8000));
+	assert_true(cgw_evacuation_record_era(&s, 8, 8000));
+}
+
 static void unset_bound_means_never_evacuated(void **state)
 {
 	struct cgw_evacuation_state s;
@@ -323,6 +342,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(one_failed_read_keeps_the_bound),
 		cmocka_unit_test(the_store_is_read_about_twice_per_bound),
+		cmocka_unit_test(older_copy_does_not_end_an_evacuation),
 		cmocka_unit_test(unset_bound_means_never_evacuated),
 		cmocka_unit_test(new_leader_waits_for_the_state),
 		cmocka_unit_test(new_leader_uses_what_its_domain_has_read),
