Test that a body without room is refused before it is read

Also counts the block of a large response before it can be evicted, so that two HTTP threads of celerygladed do not use the item at once.

--- a/src/request/front.c
+++ b/src/request/front.c
@@ -317,6 +317,10 @@
 	const void *data = g_bytes_get_data(body, &len);
 
 	r->response.body = NULL;
+	if (memory && len > WHOLE_RESPONSE_MAX)
+		cg_response_memory_reserve(memory,
+					   (int64_t)len + RESPONSE_BLOCK);
+	/* From here on it may be evicted. */
 	if (memory)
 		cg_response_memory_sending(memory, descriptor_of(conn));
 	if (!memory || len <= WHOLE_RESPONSE_MAX) {
@@ -327,7 +331,6 @@
 			g_bytes_unref(body);
 		return m;
 	}
-	cg_response_memory_reserve(memory, (int64_t)len + RESPONSE_BLOCK);
 	b = g_new0(struct blocks, 1);
 	b->body = body;
 	b->memory = memory;
--- a/tests/test_system_memory.c
+++ b/tests/test_system_memory.c
@@ -155,6 +155,31 @@
 	gf_stop(&f);
 }
 
+/* A legal body that can find no room in a small process. It has not run, so the
+ * caller may retry elsewhere. */
+static void body_without_room_is_refused(void **state)
+{
+	struct gateway_fleet f;
+	char *head = head_of("/safe/x", "k1", (size_t)20 * MIB);
+	char *text;
+	int fd;
+
+	(void)state;
+	start(&f, "\"memory_max_mb\": 64,");
+	fd = gf_send_raw(&f, 0, head);
+	text = gf_read_responses(fd, 1, ANSWER_MS);
+	assert_true(g_str_has_prefix(text, "HTTP/1.1 503 "));
+	assert_non_null(strstr(text, "Retry-After: "));
+	assert_non_null(strstr(text, "Connection: close"));
+	read_to_end(fd);
+	assert_int_equal(gf_total_runs(&f, "large"), 0);
+	assert_int_equal(gf_get(&f, 0).status, 200);
+	close(fd);
+	g_free(text);
+	g_free(head);
+	gf_stop(&f);
+}
+
 static void stalled_body_is_ended(void **state)
 {
 	struct gateway_fleet f;
@@ -266,6 +291,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(largest_body_is_served),
 		cmocka_unit_test(head_is_answered_before_the_body),
+		cmocka_unit_test(body_without_room_is_refused),
 		cmocka_unit_test(stalled_body_is_ended),
 		cmocka_unit_test(unread_response_is_ended),
 		cmocka_unit_test(slow_readers_do_not_keep_others_out),
