--- a/src/gateway/quota.c
+++ b/src/gateway/quota.c
@@ -12,9 +12,9 @@
  * that holds less than one token would admit no request. */
 #define EXTRA_TOKEN_MILLI (1 * CG_RATE_REQUEST_COST)
 /* Further tokens of a broker that its whole domain follows, if there are several
- * domains. A small account has a burst of a few requests in all, which its callers in one domain exceed now and
- * then although the account stays within its rate. The limit tolerates 20
- * requests a window. */
+ * domains. A small account has a burst of a few requests in all, which its callers
+ * in one domain exceed now and then although the account stays within its rate.
+ * The limit tolerates 20 requests a window. */
 #define DOMAIN_TOKENS_MILLI (4 * CG_RATE_REQUEST_COST)
 /* Tokens of a broker that begins to lead. It does not know what its predecessors
  * admitted, and the limit tolerates 10 % and 20 requests more per window: several
--- a/tests/test_system_oversized_bodies.c
+++ b/tests/test_system_oversized_bodies.c
@@ -1,5 +1,6 @@
-/* Guards against a process that runs out of memory when many callers send bodies far over the limit, declared or just sent in chunks. Neither a key nor a route
- * that asks for none may lead there. */
+/* Guards against a process that runs out of memory when many callers send
+ * bodies far over the limit, declared or just sent in chunks. Neither a key
+ * nor a route that asks for none may lead there. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
--- a/tests/test_system_small_chunks.c
+++ b/tests/test_system_small_chunks.c
@@ -1,5 +1,6 @@
-/* Guards against a process that runs out of memory when many callers send large bodies in very small chunks whose last chunk does not come. Neither a key nor a route
- * that asks for none may lead there. */
+/* Guards against a process that runs out of memory when many callers send
+ * large bodies in very small chunks whose last chunk does not come. Neither a
+ * key nor a route that asks for none may lead there. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
--- a/tests/test_system_stalled_bodies.c
+++ b/tests/test_system_stalled_bodies.c
@@ -1,6 +1,7 @@
-/* Guards against a process that runs out of memory when many callers send large bodies of legal size, with a length, that stop one byte short of their
- * end and stay open. Neither a key nor a route
- * that asks for none may lead there. */
+/* Guards against a process that runs out of memory when many callers send
+ * large bodies of legal size, with a length, that stop one byte short of their
+ * end and stay open. Neither a key nor a route that asks for none may lead
+ * there. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
