--- a/review/7/case.c
+++ b/review/7/case.c
@@ -10,7 +10,7 @@
 #include <sys/time.h>
 #include <unistd.h>
 
-#include "../standins-2/rig.h"
+#include "../6/rig.h"
 
 #define SERVERS	 6
 #define CALLERS	 6
