--- a/src/gateway/http_server.c
+++ b/src/gateway/http_server.c
@@ -15,6 +15,7 @@
 	MHD_UNSIGNED_LONG_LONG timeout_ms;
 
 	for (int i = 0; i < MHD_RUNS_MAX; i++) {
+		s->runs++;
 		MHD_run(s->daemon);
 		if (MHD_get_timeout(s->daemon, &timeout_ms) != MHD_YES ||
 		    timeout_ms > 0)
--- a/src/gateway/http_server.h
+++ b/src/gateway/http_server.h
@@ -18,6 +18,9 @@
 	struct cgw_loop *loop;
 	struct cgw_timer again; /**< Continues after other descriptors. */
 	struct MHD_Daemon *daemon; /**< NULL unless it runs. */
+	/** Runs of libmicrohttpd so far. It reads a connection at most once in
+	 * a run, before it handles what it has read. */
+	uint64_t runs;
 };
 
 /** Starts a server for requests without a body. Returns 0, or -1 if it cannot
--- a/src/gateway/ingress.c
+++ b/src/gateway/ingress.c
@@ -19,9 +19,8 @@
 #define IDLE_TIMEOUT_S 75
 /* Interval at which idle connections are checked. */
 #define HOUSEKEEPING_MS 1000
-/* A request that is read within this time after the previous response was
- * pipelined: the round trip of a caller that waits for the response takes
- * longer. */
+/* Bytes that arrived during a request are the whole next one only if it is read
+ * within this time after the response. */
 #define PIPELINED_MS 3
 /* Descriptors of the process that are not for callers: a share for connections
  * to servers, which grow with the requests in progress, and a fixed number for
@@ -56,13 +55,31 @@
 		      cgw_loop_now(c->ingress->gateway->loop));
 }
 
+static bool has_unread_bytes(const struct connection *c)
+{
+	char byte;
+
+	return recv(c->io.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/* libmicrohttpd may have read the bytes before their event is handled. It does not
+ * read while a request waits for its response or the response is being sent, so
+ * bytes that are left then follow that request. */
+static void record_bytes(struct connection *c)
+{
+	c->last_bytes_at = cgw_loop_now(c->ingress->gateway->loop);
+	if (c->exchange && (c->suspended || c->exchange->done) &&
+	    has_unread_bytes(c))
+		c->pipelined_at = c->last_bytes_at;
+}
+
 /* Handles bytes or a disconnect on a caller's connection. */
 static void on_caller_event(struct cgw_io *io, uint32_t events)
 {
 	struct connection *c = caa_container_of(io, struct connection, io);
 
 	if (!(events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR))) {
-		c->last_bytes_at = cgw_loop_now(c->ingress->gateway->loop);
+		record_bytes(c);
 		return;
 	}
 	c->caller_closed = true;
@@ -360,18 +377,29 @@
 
 /* Returns when the request that has just been read arrived, or a later time.
  * libmicrohttpd reads the next request of a connection only after the response
- * to the previous one. A pipelined request has waited at least since the last
- * bytes arrived, so its timeouts count from then. */
+ * to the previous one, so a pipelined request has waited, and its timeouts count
+ * from its arrival. */
 static cg_ms request_arrived_at(const struct connection *c)
 {
-	cg_ms now = cgw_loop_now(c->ingress->gateway->loop);
+	const struct cgw_ingress *in = c->ingress;
+	cg_ms now = cgw_loop_now(in->gateway->loop);
 
-	if (c->last_bytes_at && c->last_completed_at &&
-	    now - c->last_completed_at <= PIPELINED_MS)
-		return c->last_bytes_at;
+	if (c->pipelined_at && now - c->last_completed_at <= PIPELINED_MS)
+		return c->pipelined_at;
+	/* Nothing was read since the previous request ended: this one was read
+	 * together with it. */
+	if (c->completed_in_run == in->callers.runs)
+		return c->request_arrived_at;
 	return now;
 }
 
+static void start_exchange(struct connection *c, struct cgw_exchange *x)
+{
+	c->request_arrived_at = request_arrived_at(c);
+	c->pipelined_at = 0;
+	cgw_exchange_start(x, c->request_arrived_at);
+}
+
 /* Answers what the head decides, or begins to read the body. */
 static enum MHD_Result begin_body(struct cgw_exchange *x,
 				  struct MHD_Connection *mhd)
@@ -420,7 +448,7 @@
 		return x->response_body ? send_response(x, mhd, false) : MHD_NO;
 	MHD_suspend_connection(mhd);
 	c->suspended = true;
-	cgw_exchange_start(x, request_arrived_at(c));
+	start_exchange(c, x);
 	return MHD_YES;
 }
 
@@ -474,6 +502,7 @@
 		cds_list_del(&c->node);
 		cds_list_add_tail(&c->node, &c->ingress->connections);
 		c->last_completed_at = cgw_loop_now(c->ingress->gateway->loop);
+		c->completed_in_run = c->ingress->callers.runs;
 	}
 	cgw_exchange_free(x);
 	*state = NULL;
--- a/src/gateway/ingress_private.h
+++ b/src/gateway/ingress_private.h
@@ -35,7 +35,12 @@
 	struct cgw_exchange *incomplete;
 	int64_t memory; /* counted in the budget */
 	cg_ms last_bytes_at; /* when bytes last arrived; 0: unknown */
+	/* When bytes last arrived that follow the request being handled; 0:
+	 * none have. */
+	cg_ms pipelined_at;
+	cg_ms request_arrived_at; /* of the last request that was read whole */
 	cg_ms last_completed_at; /* when a request last ended; 0: never */
+	uint64_t completed_in_run; /* of libmicrohttpd; 0: never */
 	bool suspended; /* by MHD_suspend_connection() */
 	bool caller_closed;
 	bool closing; /* no further request is read */
