--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -381,6 +381,12 @@
 				    false);
 			return true;
 		}
+		/* The end of the connection would be the end of the body, but
+		 * it was not an orderly one. */
+		if (!data && c->send_failed) {
+			finish_call(call, CGW_CALL_TRUNCATED, false);
+			return true;
+		}
 		call->status = c->parser.status_code;
 		/* Clients take a lower one for an interim response. */
 		if (call->status < STATUS_MIN || call->status > STATUS_MAX) {
@@ -437,7 +443,8 @@
 	return false;
 }
 
-static void read_response(struct cgw_conn *c)
+/* Returns true if the call has ended. */
+static bool read_response(struct cgw_conn *c)
 {
 	struct cgw_call *call = c->call;
 	ssize_t n;
@@ -447,18 +454,19 @@
 		if (n > 0) {
 			c->response_started = true;
 			if (parse(c, read_buffer, (size_t)n))
-				return;
+				return true;
 		} else if (n == 0) {
 			if (!c->response_started)
 				fail_call(call);
 			else
 				parse(c, NULL, 0);
-			return;
+			return true;
 		} else if (errno != EAGAIN && errno != EINTR) {
 			fail_call(call);
-			return;
+			return true;
 		}
 	} while (n == (ssize_t)sizeof(read_buffer));
+	return false;
 }
 
 /* Sends from the head and the body, which are not copied into one block. */
@@ -499,8 +507,10 @@
 		} else if (errno != EINTR) {
 			/* The server may have responded before it closed the
 			 * connection; the response is read next. */
-			if (call->sent)
+			if (call->sent) {
+				c->send_failed = true;
 				return 0;
+			}
 			fail_call(call);
 			return -1;
 		}
@@ -537,6 +547,14 @@
 			return;
 		events &= ~(uint32_t)EPOLLOUT;
 	}
+	/* A send would return the error of a connection that was reset and clear
+	 * it, and a read would then find an orderly end. So once a part of the
+	 * request has been sent, the response is read first. */
+	if (c->out_pos && events & (EPOLLIN | EPOLLHUP | EPOLLERR)) {
+		if (read_response(c) || events & (EPOLLHUP | EPOLLERR))
+			return;
+		events &= ~(uint32_t)EPOLLIN;
+	}
 	if (events & EPOLLOUT && write_request(c))
 		return;
 	if (events & (EPOLLIN | EPOLLHUP | EPOLLERR))
@@ -616,6 +634,7 @@
 	c->out_pos = 0;
 	c->response_started = false;
 	c->no_room = false;
+	c->send_failed = false;
 	reset_response(c);
 	if (!c->connected) {
 		cgw_timer_arm(u->loop, &call->timer,
--- a/src/gateway/upstream_private.h
+++ b/src/gateway/upstream_private.h
@@ -29,6 +29,7 @@
 	bool response_started; /* at least one byte has been received */
 	bool no_reuse;
 	bool no_room; /* for the body of the response */
+	bool send_failed; /* the error of the connection is no longer known */
 	enum {
 		STATUS_BEFORE, /* in the protocol version */
 		STATUS_WITHIN,
--- a/tests/support/scripted_server.c
+++ b/tests/support/scripted_server.c
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #define LATE_COPY_US  30000
+#define EARLY_US      100000
 #define ENDLESS_BLOCK 16384
 #define RESPONSE_BODY "the whole body"
 
@@ -303,6 +304,22 @@
 	}
 }
 
+/* Responds to a request whose body has not been read. */
+static void respond_early(struct client *p, const char *id)
+{
+	struct linger reset = { .l_onoff = 1 };
+	bool whole = p->server->mode == SCRIPTED_EARLY_CLOSE;
+
+	p->server->requests++;
+	record_run(p->server, id);
+	send_response(p, 200, id, "X-Response-Seal: s\r\n", false,
+		      whole ? RESPONSE_BODY : "half");
+	if (whole)
+		shutdown(p->fd, SHUT_WR);
+	g_usleep(EARLY_US);
+	setsockopt(p->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+}
+
 static gpointer serve_client(gpointer arg)
 {
 	struct client *p = arg;
@@ -332,6 +349,13 @@
 		if (!end)
 			continue;
 		head = (gsize)(end - in->str) + 4;
+		if (s->mode == SCRIPTED_EARLY_RESET ||
+		    s->mode == SCRIPTED_EARLY_CLOSE) {
+			id = header(in->str, "X-Request-Id");
+			respond_early(p, id ? id : "");
+			g_free(id);
+			break;
+		}
 		length = header(in->str, "Content-Length");
 		if (length && in->len < head + strtoul(length, NULL, 10)) {
 			needed = head + strtoul(length, NULL, 10);
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -58,6 +58,12 @@
 	SCRIPTED_IMPATIENT,
 	/** Responds 200 in chunks, with X-Not-Run in the trailer. */
 	SCRIPTED_TRAILER,
+	/** Respond without a length before the body of the request is read:
+	 * a part, and then reset the connection. */
+	SCRIPTED_EARLY_RESET,
+	/** The whole response, end it in order, and reset the connection 100 ms
+	 * later. */
+	SCRIPTED_EARLY_CLOSE,
 	/** Send without end until the client closes: */
 	SCRIPTED_ENDLESS_GARBAGE, /**< Bytes that are not HTTP. */
 	SCRIPTED_ENDLESS_HEAD, /**< Header fields. */
--- a/tests/test_gateway_upstream.c
+++ b/tests/test_gateway_upstream.c
@@ -12,6 +12,8 @@
 #include "gateway/upstream.h"
 #include "support/scripted_server.h"
 
+#define LONG_BODY (16 * 1024 * 1024)
+
 struct fixture {
 	struct cg_clock clk;
 	struct cgw_loop *loop;
@@ -154,6 +156,59 @@
 	teardown(&f);
 }
 
+/* Sends a body that the sockets cannot hold, and waits for the end of the call. */
+static void call_with_long_body(struct fixture *f, const char *id)
+{
+	char *body = g_strnfill(LONG_BODY, 'a');
+	char *text = g_strdup_printf("POST / HTTP/1.1\r\nHost: h\r\n"
+				     "X-Request-Id: %s\r\n"
+				     "Content-Length: %d\r\n\r\n%s",
+				     id, LONG_BODY, body);
+
+	start(f, id, 0, 5000);
+	g_byte_array_set_size(f->request, 0);
+	g_byte_array_append(f->request, (const guint8 *)text,
+			    (guint)strlen(text));
+	run(f);
+	g_free(text);
+	g_free(body);
+}
+
+/* The error of a reset connection was reported to the send of the upload, and the
+ * end found by the next read was taken for the end of the response. */
+static void response_reset_during_an_upload_is_truncated(void **state)
+{
+	struct fixture f;
+
+	(void)state;
+	setup(&f);
+	f.server.mode = SCRIPTED_EARLY_RESET;
+	for (unsigned int i = 0; i < 5; i++) {
+		call_with_long_body(&f, "a1");
+		assert_int_equal(f.call.outcome, CGW_CALL_TRUNCATED);
+		cgw_call_clear(&f.call);
+	}
+	teardown(&f);
+}
+
+/* An orderly end completes a response without a length, though the upload has not
+ * been sent and the connection is reset afterwards. */
+static void response_ended_in_order_during_an_upload_is_whole(void **state)
+{
+	struct fixture f;
+
+	(void)state;
+	setup(&f);
+	f.server.mode = SCRIPTED_EARLY_CLOSE;
+	for (unsigned int i = 0; i < 5; i++) {
+		call_with_long_body(&f, "a1");
+		assert_int_equal(f.call.outcome, CGW_CALL_RESPONDED);
+		assert_int_equal(f.call.body->len, strlen("the whole body"));
+		cgw_call_clear(&f.call);
+	}
+	teardown(&f);
+}
+
 /* The response to another request is discarded, the response after it is
  * accepted, and the connection is not reused. */
 static void responses_to_other_requests_are_discarded(void **state)
@@ -521,6 +576,9 @@
 		cmocka_unit_test(idle_connections_are_reused),
 		cmocka_unit_test(request_is_never_sent_twice),
 		cmocka_unit_test(truncated_response_is_detected),
+		cmocka_unit_test(response_reset_during_an_upload_is_truncated),
+		cmocka_unit_test(
+			response_ended_in_order_during_an_upload_is_whole),
 		cmocka_unit_test(responses_to_other_requests_are_discarded),
 		cmocka_unit_test(connection_with_extra_bytes_is_not_reused),
 		cmocka_unit_test(timeout_and_cancel_close_the_connection),
