Test that endless responses fit the memory of the smallest machine

An operator of a similar system reported a machine that kept bytes without end of a faulty server and ran out of memory. Here: 60 callers, four servers that send header fields, a body without a length or chunks without end, memory 160 MiB. The test passes without a change of the product: the fault was not reproduced. The fixture takes the number of slots of its servers.

--- a/tests/support/gateway_fleet.c
+++ b/tests/support/gateway_fleet.c
@@ -24,6 +24,7 @@
 #include "../../bench/fleet/ports.h"
 
 #define READY_S 8
+#define SLOTS	3
 
 static unsigned int domain_index(const struct gateway_fleet *f, unsigned int i)
 {
@@ -116,10 +117,10 @@
 {
 	char *spec = g_strdup_printf(
 		"{\"service\":\"svc\",\"addr\":\"127.0.0.1:%u\",\"zone\":\"%s\","
-		"\"version\":\"v1\",\"max_concurrency\":3,\"state\":\"%s\","
+		"\"version\":\"v1\",\"max_concurrency\":%u,\"state\":\"%s\","
 		"\"warmup_left_ms\":0,\"seq\":1,\"born\":%u}",
-		f->servers[i].port, i < GF_SERVERS / 2 ? "a" : "b", state,
-		1000 + f->restarts[i]);
+		f->servers[i].port, i < GF_SERVERS / 2 ? "a" : "b",
+		f->slots ? f->slots : SLOTS, state, 1000 + f->restarts[i]);
 	char name[16];
 
 	g_snprintf(name, sizeof(name), "s%u", i);
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -26,6 +26,8 @@
 	unsigned int version; /**< Of the last configuration written. */
 	/** Largest body in the next configuration; 0: 100,000 bytes. */
 	unsigned int max_body_bytes;
+	/** Slots in the servers' entries from now on; 0: 3. */
+	unsigned int slots;
 	/** Settings of the daemons from their next start on; 0: left out. */
 	double cpu_share[GF_DAEMONS];
 	unsigned int evacuation_bound_ms; /**< Of all daemons. */
--- a/tests/test_system_memory.c
+++ b/tests/test_system_memory.c
@@ -27,6 +27,9 @@
 #define LARGEST_REQUESTS 4
 #define SMALL_BUFFER	 4096
 #define SLOW_READERS	 14 /* 168 MiB of responses */
+#define ENDLESS_CALLERS	 60
+#define ENDLESS_MS	 2000
+#define SLOTS_MS	 1000 /* until the daemon knows the slots */
 #define STALL		 "\"body_stall_ms\": 1000, \"response_stall_ms\": 1000,"
 #define LARGE_ROUTE                                                            \
 	",{\"name\":\"large\",\"kind\":\"safe\",\"slo_ms\":20000,"             \
@@ -286,6 +289,38 @@
 	g_free(text);
 }
 
+/* Guards against responses without end, of several servers in trouble, that take
+ * more memory than the machine has before they are cut off. */
+static void endless_responses_do_not_exhaust_the_memory(void **state)
+{
+	static const int modes[] = { SCRIPTED_ENDLESS_HEAD,
+				     SCRIPTED_ENDLESS_BODY,
+				     SCRIPTED_ENDLESS_CHUNKS };
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(modes); i++) {
+		struct gateway_fleet f;
+		int fds[ENDLESS_CALLERS];
+
+		start(&f, NULL);
+		f.slots = ENDLESS_CALLERS / GF_SERVERS;
+		for (unsigned int j = 0; j < GF_SERVERS; j++) {
+			gf_put_server(&f, j, "ready");
+			f.servers[j].mode = modes[i];
+		}
+		g_usleep(SLOTS_MS * 1000);
+		for (int j = 0; j < ENDLESS_CALLERS; j++)
+			fds[j] = request_large(&f);
+		g_usleep(ENDLESS_MS * 1000);
+		for (int j = 0; j < GF_SERVERS; j++)
+			f.servers[j].mode = SCRIPTED_OK;
+		check_process(&f, "endless responses");
+		for (int j = 0; j < ENDLESS_CALLERS; j++)
+			close(fds[j]);
+		gf_stop(&f);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -295,6 +330,7 @@
 		cmocka_unit_test(stalled_body_is_ended),
 		cmocka_unit_test(unread_response_is_ended),
 		cmocka_unit_test(slow_readers_do_not_keep_others_out),
+		cmocka_unit_test(endless_responses_do_not_exhaust_the_memory),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
