--- a/src/gateway/linger.c
+++ b/src/gateway/linger.c
@@ -5,6 +5,7 @@
 #include <fcntl.h>
 #include <glib.h>
 #include <linux/sockios.h>
+#include <string.h>
 #include <sys/epoll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
@@ -114,9 +115,9 @@
 void cgw_linger_init(struct cgw_linger *l, struct cgw_loop *loop,
 		     unsigned int max)
 {
+	memset(l, 0, sizeof(*l));
 	l->loop = loop;
 	l->max = max;
-	l->count = 0;
 	l->check.fire = on_check;
 	CDS_INIT_LIST_HEAD(&l->connections);
 }
