Refuse uploads that end too late in the grace time

Cause: a body may end at any time in a stop. Its request was then passed on, though little of the grace time was left, and broken off at its end (504, may have run). Change: after idle connections have been ended, a request is refused with 503 if less time is left than the latency objective of its route.

--- a/include/gateway/gateway.h
+++ b/include/gateway/gateway.h
@@ -45,6 +45,10 @@
  * that it could not serve before it exits. */
 cg_ms cgw_gateway_slot_deadline(const struct cgw_gateway *g, cg_ms deadline);
 
+/** Returns the time in ms until a stopping daemon breaks off the requests that
+ * still run. */
+cg_ms cgw_gateway_grace_left(const struct cgw_gateway *g);
+
 /** Returns why this daemon is not ready (a static string), or NULL if it is. */
 const char *cgw_gateway_unready_reason(struct cgw_gateway *g);
 
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -572,6 +572,19 @@
 	return FILTER_CONTINUE;
 }
 
+/* Refuses a request whose body has ended so late in the grace time that its server
+ * would hardly have responded before the end. */
+static enum filter_result filter_grace(struct cgw_exchange *x)
+{
+	const struct cgw_gateway *g = x->gateway;
+
+	if (!g->refusing_new ||
+	    cgw_gateway_grace_left(g) >= (cg_ms)x->route->objective_ms)
+		return FILTER_CONTINUE;
+	refuse(x, CG_REASON_STOPPING, 0);
+	return FILTER_STOP;
+}
+
 static enum filter_result filter_key(struct cgw_exchange *x)
 {
 	struct cgw_gateway *g = x->gateway;
@@ -630,7 +643,7 @@
 void cgw_exchange_start(struct cgw_exchange *x, cg_ms arrived_at)
 {
 	static const filter chain[] = {
-		filter_malformed, filter_stopping, filter_route,
+		filter_malformed, filter_stopping, filter_route, filter_grace,
 		filter_key,	  filter_room,	   filter_slot,
 	};
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -168,6 +168,11 @@
 	       (cg_ms)(DRAIN_SHARE * (double)g->settings.grace_ms);
 }
 
+cg_ms cgw_gateway_grace_left(const struct cgw_gateway *g)
+{
+	return drain_deadline(g) - cgw_loop_now(g->loop);
+}
+
 cg_ms cgw_gateway_slot_deadline(const struct cgw_gateway *g, cg_ms deadline)
 {
 	return g->stopping ? MIN(deadline,
--- a/tests/test_system_connections.c
+++ b/tests/test_system_connections.c
@@ -32,6 +32,11 @@
 #define LATE_MS		   3200 /* after SIGTERM */
 #define LATE_WORK_MS	   4000
 #define RESPONSE_TAIL_SIZE 4096
+#define LONG_ROUTE                                                             \
+	",{\"name\":\"long\",\"kind\":\"unsafe\",\"slo_ms\":5000,"             \
+	"\"priority\":1,\"match\":{\"path_prefix\":\"/long/\"},"               \
+	"\"action\":{\"service\":\"svc\",\"timeout_ms\":9000,"                 \
+	"\"attempts\":1}}"
 
 static void start(struct gateway_fleet *f, int work_ms)
 {
@@ -257,11 +262,7 @@
 	(void)state;
 	start(&f, 0);
 	answer = send_long_bodies(&f, LONGEST_BODY);
-	gf_put_config(&f, true, 0, 0,
-		      ",{\"name\":\"long\",\"kind\":\"unsafe\",\"slo_ms\":5000,"
-		      "\"priority\":1,\"match\":{\"path_prefix\":\"/long/\"},"
-		      "\"action\":{\"service\":\"svc\",\"timeout_ms\":9000,"
-		      "\"attempts\":1}}");
+	gf_put_config(&f, true, 0, 0, LONG_ROUTE);
 	g_usleep(1000000);
 	fd = gf_send_raw(&f, 0, "");
 	text = format_request("GET", "/safe/x", 0, 'a');
@@ -289,6 +290,35 @@
 	g_free(answer);
 }
 
+/* The end of a body may come late, too. */
+static void stop_passes_on_no_upload_that_ends_late(void **state)
+{
+	static const char head[] =
+		"POST /long/x HTTP/1.1\r\nHost: h.example\r\n"
+		"X-Request-Id: late\r\nAuthorization: Bearer k1\r\n"
+		"Content-Length: 2\r\n\r\na";
+	struct gateway_fleet f;
+	char *text;
+	int fd;
+
+	(void)state;
+	start(&f, LATE_WORK_MS);
+	gf_put_config(&f, true, 0, 0, LONG_ROUTE);
+	g_usleep(1000000);
+	fd = gf_send_raw(&f, 0, head);
+	g_usleep(300000);
+	kill(f.pids[0], SIGTERM);
+	g_usleep(LATE_MS * 1000);
+	send_text(fd, "b");
+	text = gf_read_responses(fd, 1, ANSWER_MS);
+	assert_non_null(strstr(text, "HTTP/1.1 503 "));
+	assert_int_equal(gf_total_runs(&f, "late"), 0);
+	g_free(text);
+	close(fd);
+	assert_exits(&f);
+	gf_stop(&f);
+}
+
 /* A response to an upload that is not read ends the connection. The bytes on the
  * way reset it before the caller had the response. */
 static void refused_upload_gets_its_response(void **state)
@@ -329,6 +359,7 @@
 			stop_sends_the_whole_response_of_an_idle_connection),
 		cmocka_unit_test(
 			stop_passes_on_no_request_late_in_the_grace_time),
+		cmocka_unit_test(stop_passes_on_no_upload_that_ends_late),
 		cmocka_unit_test(refused_upload_gets_its_response),
 	};
 
