Refuse a request that waits when idle connections are ended

Cause: a request behind a response that ends late in a stop is unread for a moment while its connection is idle. Its connection was ended in that moment, so it got no response instead of 503. Nothing was passed on, but its caller cannot know that. Change: a connection with unread bytes is not ended as an idle one, and the process does not exit before the bytes have been read.

--- a/include/gateway/ingress.h
+++ b/include/gateway/ingress.h
@@ -16,10 +16,11 @@
 void cgw_ingress_quiesce(struct cgw_ingress *i);
 /** Responds to all requests that are being handled, as at their deadlines. */
 void cgw_ingress_expire_running(struct cgw_ingress *i);
-/** Ends connections on which no request is being handled. Responses that have been
- * sent still reach their callers. */
+/** Ends connections on which no request is being handled or waits to be read.
+ * Responses that have been sent still reach their callers. */
 void cgw_ingress_close_idle(struct cgw_ingress *i);
-/** Returns whether all callers have received what has been sent to them. */
+/** Returns whether all callers have received what has been sent to them, and no
+ * request waits to be read. */
 bool cgw_ingress_is_delivered(const struct cgw_ingress *i);
 
 #endif
--- a/src/gateway/ingress.c
+++ b/src/gateway/ingress.c
@@ -650,7 +650,9 @@
 	struct connection *c;
 
 	cds_list_for_each_entry(c, &in->connections, node) {
-		if (!c->exchange && !c->closing && !c->finishing)
+		/* A request that has arrived is refused with a response. */
+		if (!c->exchange && !c->closing && !c->finishing &&
+		    !has_unread_bytes(c))
 			finish_connection(c);
 	}
 }
@@ -662,7 +664,8 @@
 	if (in->linger.count)
 		return false;
 	cds_list_for_each_entry(c, &in->connections, node)
-		if (cgw_linger_has_unsent(c->io.fd))
+		if (cgw_linger_has_unsent(c->io.fd) ||
+		    (!c->closing && has_unread_bytes(c)))
 			return false;
 	return true;
 }
