Share the start of a serving fleet between three system tests

test_system_connections, test_system_ingress and test_system_gateway each started a ready fleet with the same lines. gf_start_serving() does it; no assertion is changed.

--- a/tests/support/gateway_fleet.c
+++ b/tests/support/gateway_fleet.c
@@ -352,6 +352,16 @@
 	return fd;
 }
 
+void gf_start_serving(struct gateway_fleet *f, unsigned int daemons,
+		      int work_ms)
+{
+	gf_start(f, daemons);
+	gf_put_config(f, true, 0, 0, "");
+	gf_wait_ready(f);
+	for (int i = 0; i < GF_SERVERS; i++)
+		f->servers[i].delay_ms = work_ms;
+}
+
 int gf_send_raw_peer(struct gateway_fleet *f, unsigned int daemon,
 		     const char *text)
 {
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -64,6 +64,10 @@
 /** Starts store, servers (two in each of the domains "a" and "b", service
  * "svc") and @p daemons processes, the first half in "a". */
 void gf_start(struct gateway_fleet *f, unsigned int daemons);
+/** The same, with a configuration without limits, until all are ready. Servers then
+ * take @p work_ms for a request. */
+void gf_start_serving(struct gateway_fleet *f, unsigned int daemons,
+		      int work_ms);
 void gf_stop(struct gateway_fleet *f);
 /** Writes the settings file of a daemon. */
 void gf_write_settings(struct gateway_fleet *f, unsigned int i);
--- a/tests/test_system_connections.c
+++ b/tests/test_system_connections.c
@@ -38,15 +38,6 @@
 	"\"action\":{\"service\":\"svc\",\"timeout_ms\":9000,"                 \
 	"\"attempts\":1}}"
 
-static void start(struct gateway_fleet *f, int work_ms)
-{
-	gf_start(f, 2);
-	gf_put_config(f, true, 0, 0, "");
-	gf_wait_ready(f);
-	for (int i = 0; i < GF_SERVERS; i++)
-		f->servers[i].delay_ms = work_ms;
-}
-
 static char *format_request(const char *method, const char *path,
 			    unsigned int i, char part)
 {
@@ -88,7 +79,7 @@
 	int fds[CALLERS];
 
 	(void)state;
-	start(&f, WORK_MS);
+	gf_start_serving(&f, 2, WORK_MS);
 	for (unsigned int i = 0; i < CALLERS; i++) {
 		char *text = format_request("POST", "/unsafe/x", i, 'a');
 
@@ -187,7 +178,7 @@
 	char *text, *answer;
 
 	(void)state;
-	start(&f, 400);
+	gf_start_serving(&f, 2, 400);
 	answer = send_long_bodies(&f, LONG_BODY);
 	for (unsigned int i = 0; i < CALLERS; i++) {
 		fds[i] = open_slow_caller(&f);
@@ -220,7 +211,7 @@
 	int fd;
 
 	(void)state;
-	start(&f, 0);
+	gf_start_serving(&f, 2, 0);
 	answer = send_long_bodies(&f, LONG_BODY);
 	fd = open_slow_caller(&f);
 	text = format_request("GET", "/safe/x", 0, 'a');
@@ -260,7 +251,7 @@
 	int fd;
 
 	(void)state;
-	start(&f, 0);
+	gf_start_serving(&f, 2, 0);
 	answer = send_long_bodies(&f, LONGEST_BODY);
 	gf_put_config(&f, true, 0, 0, LONG_ROUTE);
 	g_usleep(1000000);
@@ -302,7 +293,7 @@
 	int fd;
 
 	(void)state;
-	start(&f, LATE_WORK_MS);
+	gf_start_serving(&f, 2, LATE_WORK_MS);
 	gf_put_config(&f, true, 0, 0, LONG_ROUTE);
 	g_usleep(1000000);
 	fd = gf_send_raw(&f, 0, head);
@@ -327,7 +318,7 @@
 	char *body = g_strnfill(UPLOAD, 'a');
 
 	(void)state;
-	start(&f, 0);
+	gf_start_serving(&f, 2, 0);
 	f.max_body_bytes = UPLOAD;
 	gf_put_config(&f, true, 0, 0, "");
 	g_usleep(1000000);
--- a/tests/test_system_gateway.c
+++ b/tests/test_system_gateway.c
@@ -42,13 +42,6 @@
 	g_usleep((gulong)ms * 1000);
 }
 
-static void start_ready_fleet(struct gateway_fleet *f, unsigned int daemons)
-{
-	gf_start(f, daemons);
-	gf_put_config(f, true, 0, 0, "");
-	gf_wait_ready(f);
-}
-
 static void set_modes(struct gateway_fleet *f, enum scripted_mode mode)
 {
 	for (int i = 0; i < GF_SERVERS; i++)
@@ -85,7 +78,7 @@
 	char *head = NULL;
 
 	(void)state;
-	start_ready_fleet(&f, 4);
+	gf_start_serving(&f, 4, 0);
 	for (unsigned int i = 0; i < 4; i++) {
 		struct gf_response a = gf_get(&f, i);
 
@@ -118,7 +111,7 @@
 	};
 
 	(void)state;
-	start_ready_fleet(&f, 2);
+	gf_start_serving(&f, 2, 0);
 	assert_int_equal(gf_call(&f, &r).status, 401);
 	r.key = NULL;
 	assert_int_equal(gf_call(&f, &r).status, 401);
@@ -143,7 +136,7 @@
 	cg_ms written_at;
 
 	(void)state;
-	start_ready_fleet(&f, 4);
+	gf_start_serving(&f, 4, 0);
 	gf_put_config(&f, true, 0, 0, extra);
 	written_at = now_ms();
 	for (r.daemon = 0; r.daemon < 4; r.daemon++) {
@@ -164,7 +157,7 @@
 	struct gateway_fleet f;
 
 	(void)state;
-	start_ready_fleet(&f, 2);
+	gf_start_serving(&f, 2, 0);
 	objects_put(f.store, "config", "main",
 		    "{\"version\":\"r900\",\"listeners\":7}");
 	sleep_ms(1000);
@@ -181,7 +174,7 @@
 	cg_ms written_at;
 
 	(void)state;
-	start_ready_fleet(&f, 4);
+	gf_start_serving(&f, 4, 0);
 	assert_int_equal(gf_get(&f, 3).status, 200);
 	gf_put_config(&f, false, 0, 0, "");
 	written_at = now_ms();
@@ -202,7 +195,7 @@
 	cg_ms started_at;
 
 	(void)state;
-	start_ready_fleet(&f, 4);
+	gf_start_serving(&f, 4, 0);
 	objects_set_fault(f.store, OBJECTS_FAULT_503);
 	gf_put_config(&f, false, 0, 0, "");
 	started_at = now_ms();
@@ -226,7 +219,7 @@
 	struct gf_response a;
 
 	(void)state;
-	start_ready_fleet(&f, 4);
+	gf_start_serving(&f, 4, 0);
 	kill(f.pids[1], SIGSTOP);
 	gf_put_config(&f, false, 0, 0, "");
 	objects_set_fault(f.store, OBJECTS_FAULT_503);
@@ -304,7 +297,7 @@
 	int before;
 
 	(void)state;
-	start_ready_fleet(&f, 4);
+	gf_start_serving(&f, 4, 0);
 	gf_put_server(&f, 0, "draining");
 	objects_remove(f.store, "servers", "s2");
 	sleep_ms(SERVER_DRAIN_MS);
@@ -373,7 +366,7 @@
 		if (i % 4 == 0) {
 			if (i)
 				gf_stop(&f);
-			start_ready_fleet(&f, 2);
+			gf_start_serving(&f, 2, 0);
 		}
 		set_modes(&f, cases[i].mode);
 		snprintf(id, sizeof(id), "unsafe-%zu", i);
@@ -398,7 +391,7 @@
 	struct gateway_fleet f;
 
 	(void)state;
-	start_ready_fleet(&f, 2);
+	gf_start_serving(&f, 2, 0);
 	for (int i = 0; i < 24; i++) {
 		struct gf_request r = { .daemon = 0,
 					.method = "POST",
@@ -433,7 +426,7 @@
 	struct gateway_fleet f;
 
 	(void)state;
-	start_ready_fleet(&f, 2);
+	gf_start_serving(&f, 2, 0);
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		struct gf_response a;
 
@@ -456,7 +449,7 @@
 	struct gateway_fleet f;
 
 	(void)state;
-	start_ready_fleet(&f, 2);
+	gf_start_serving(&f, 2, 0);
 	for (int i = 0; i < 10; i++)
 		assert_int_equal(gf_get(&f, 0).status, 200);
 	f.servers[0].mode = SCRIPTED_HANG;
@@ -479,7 +472,7 @@
 				.client_timeout_ms = 300 };
 
 	(void)state;
-	start_ready_fleet(&f, 2);
+	gf_start_serving(&f, 2, 0);
 	set_modes(&f, SCRIPTED_HANG);
 	assert_int_equal(gf_call(&f, &r).status, 0);
 	sleep_ms(500);
@@ -502,7 +495,7 @@
 	struct gf_response a;
 
 	(void)state;
-	start_ready_fleet(&f, 2);
+	gf_start_serving(&f, 2, 0);
 	set_modes(&f, SCRIPTED_HANG);
 	a = gf_call(&f, &r);
 	assert_int_equal(a.status, 504);
@@ -521,7 +514,7 @@
 	int fd;
 
 	(void)state;
-	start_ready_fleet(&f, 2);
+	gf_start_serving(&f, 2, 0);
 	fd = gf_send_raw(&f, 0, PIPELINED_GET("one") PIPELINED_GET("two"));
 	text = gf_read_responses(fd, 2, 3000);
 	first = strstr(text, "X-Request-Id: one");
@@ -544,7 +537,7 @@
 	int fd;
 
 	(void)state;
-	start_ready_fleet(&f, 2);
+	gf_start_serving(&f, 2, 0);
 	set_modes(&f, SCRIPTED_HANG);
 	started_at = now_ms();
 	fd = gf_send_raw(&f, 0, PIPELINED_GET("one") PIPELINED_GET("two"));
@@ -566,7 +559,7 @@
 	int fd;
 
 	(void)state;
-	start_ready_fleet(&f, 2);
+	gf_start_serving(&f, 2, 0);
 	for (int i = 0; i < GF_SERVERS; i++)
 		f.servers[i].delay_ms = 900;
 	fd = gf_send_raw(&f, 0, PIPELINED_GET("one"));
@@ -597,7 +590,7 @@
 	int fd;
 
 	(void)state;
-	start_ready_fleet(&f, 2);
+	gf_start_serving(&f, 2, 0);
 	fd = gf_send_raw(
 		&f, 0,
 		"POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\n"
@@ -644,7 +637,7 @@
 
 	(void)state;
 	b = (struct background){ .fleet = &f };
-	start_ready_fleet(&f, 4);
+	gf_start_serving(&f, 4, 0);
 	for (int i = 0; i < GF_SERVERS; i++)
 		f.servers[i].delay_ms = 1200;
 	t = g_thread_new("slow", slow_call, &b);
@@ -718,7 +711,7 @@
 	int readers = 0, receivers = 0;
 
 	(void)state;
-	start_ready_fleet(&f, 4);
+	gf_start_serving(&f, 4, 0);
 	sleep_ms(500);
 	gf_put_config(&f, false, 0, 0, "");
 	written_at = now_ms();
@@ -750,7 +743,7 @@
 	struct gateway_fleet f;
 
 	(void)state;
-	start_ready_fleet(&f, 2);
+	gf_start_serving(&f, 2, 0);
 	for (size_t i = 0; i < G_N_ELEMENTS(requests); i++) {
 		int fd = gf_send_raw_peer(&f, 0, requests[i]);
 		char *text = gf_read_responses(fd, 1, 1000);
@@ -795,7 +788,7 @@
 	int before;
 
 	(void)state;
-	start_ready_fleet(&f, 4);
+	gf_start_serving(&f, 4, 0);
 	assert_int_equal(gf_get(&f, 1).status, 200);
 	objects_set_fault(f.store, OBJECTS_FAULT_503);
 	sleep_ms(1500);
@@ -874,7 +867,7 @@
 	int readers = 0;
 
 	(void)state;
-	start_ready_fleet(&f, 4);
+	gf_start_serving(&f, 4, 0);
 	for (unsigned int i = 0; i < 4; i++) {
 		kill(f.pids[i], SIGKILL);
 		waitpid(f.pids[i], NULL, 0);
@@ -905,7 +898,7 @@
 	struct gateway_fleet f;
 
 	(void)state;
-	start_ready_fleet(&f, 4);
+	gf_start_serving(&f, 4, 0);
 	objects_remove(f.store, "servers", "s0");
 	objects_remove(f.store, "servers", "s1");
 	sleep_ms(1500);
--- a/tests/test_system_ingress.c
+++ b/tests/test_system_ingress.c
@@ -40,15 +40,6 @@
 	g_usleep((gulong)ms * 1000);
 }
 
-static void start(struct gateway_fleet *f, int work_ms)
-{
-	gf_start(f, 2);
-	gf_put_config(f, true, 0, 0, "");
-	gf_wait_ready(f);
-	for (int i = 0; i < GF_SERVERS; i++)
-		f->servers[i].delay_ms = work_ms;
-}
-
 static bool is_running(struct gateway_fleet *f, unsigned int daemon)
 {
 	return waitpid(f->pids[daemon], NULL, WNOHANG) == 0;
@@ -90,7 +81,7 @@
 	int fds[RUNNING];
 
 	(void)state;
-	start(&f, WORK_MS);
+	gf_start_serving(&f, 2, WORK_MS);
 	send_running(&f, "/unsafe/x", fds);
 	for (int i = 0; i < 3; i++) {
 		int fd = gf_send_raw(&f, 0, WITHIN_HEAD);
@@ -111,7 +102,7 @@
 	int fds[RUNNING], within, status = -1;
 
 	(void)state;
-	start(&f, HEAD_STOP_MS + WORK_MS);
+	gf_start_serving(&f, 2, HEAD_STOP_MS + WORK_MS);
 	gf_put_config(
 		&f, true, 0, 0,
 		",{\"name\":\"slow\",\"kind\":\"unsafe\",\"slo_ms\":5000,"
@@ -151,7 +142,7 @@
 		g_string_append(heads[3], "X-A: b\r\n");
 	g_string_append(heads[3], "\r\n");
 
-	start(&f, WORK_MS);
+	gf_start_serving(&f, 2, WORK_MS);
 	send_running(&f, "/unsafe/x", fds);
 	for (size_t i = 0; i < G_N_ELEMENTS(heads); i++) {
 		int fd = gf_send_raw(&f, 0, heads[i]->str);
@@ -178,7 +169,7 @@
 	assert_true(r.rlim_max >= 2 * CONNECTIONS);
 	r.rlim_cur = r.rlim_max;
 	assert_int_equal(setrlimit(RLIMIT_NOFILE, &r), 0);
-	start(&f, 0);
+	gf_start_serving(&f, 2, 0);
 	for (int i = 0; i < CONNECTIONS; i++)
 		fds[i] = gf_send_raw(&f, 0, "");
 	assert_int_equal(gf_ready_status(&f, 0), 200);
@@ -209,7 +200,7 @@
 	int served = 0;
 
 	(void)state;
-	start(&f, 0);
+	gf_start_serving(&f, 2, 0);
 	kill(f.pids[1], SIGKILL);
 	waitpid(f.pids[1], NULL, 0);
 	f.descriptors[1] = FEW_DESCRIPTORS;
@@ -286,7 +277,7 @@
 	struct gateway_fleet f;
 
 	(void)state;
-	start(&f, 0);
+	gf_start_serving(&f, 2, 0);
 	assert_int_equal(
 		status_of_head(&f, FIELDS, REQUEST_HEAD_MAX - request_rest),
 		200);
