--- a/review/support-3/kit.h
+++ b/review/support-3/kit.h
@@ -76,7 +76,7 @@
 	int gateway_count;
 	pid_t pids[KIT_PROCESSES_MAX];
 	int pid_count;
-	unsigned int version;
+	int ram_mb; /* of the machines; 0: 260 */
 	bool trouble;
 } kit;
 
@@ -317,6 +317,27 @@
 	return kit_ms();
 }
 
+/* Removes an object. Returns the time of the ack. */
+static KIT_UNUSED long kit_delete(const char *kind, const char *name)
+{
+	char text[256];
+	int fd = kit_connect("127.0.0.1", kit.store_port), status;
+
+	snprintf(text, sizeof(text),
+		 "DELETE /objects/%s/%s HTTP/1.1\r\nHost: store\r\n"
+		 "Connection: close\r\n\r\n",
+		 kind, name);
+	if (fd < 0 || !kit_send_all(fd, text, strlen(text)))
+		kit_end(KIT_CANNOT, "the store takes no calls");
+	status = kit_read_response(fd, 5000, NULL, 0);
+	close(fd);
+	if (status / 100 != 2)
+		kit_end(KIT_CANNOT, "the store answers %d to the removal of "
+				    "%s/%s",
+			status, kind, name);
+	return kit_ms();
+}
+
 static void kit_start_store(void)
 {
 	char port[16], log[192];
@@ -620,13 +641,14 @@
 		" \"retry_ratio\": 0.2, \"retry_slack\": 64,"
 		" \"retry_window_ms\": 10000, \"key_proof_ms\": 5000,"
 		" \"config_bound_ms\": 2000, \"server_heartbeat_ms\": 1500,"
-		" \"descriptors_max\": 4100, \"memory_max_mb\": 260,"
+		" \"descriptors_max\": 4100, \"memory_max_mb\": %d,"
 		" \"cpu_share\": 0.2, \"link_mbps\": 1000, \"min_share\": 0.7,"
 		" \"grace_ms\": 6000, \"log_level\": \"info\" }\n",
 		g->name, zone, g->ip, zones, g->ip, front, g->ip, ready,
 		internal,
 		kit.gateway_store_port ? kit.gateway_store_port
-				       : kit.store_port);
+				       : kit.store_port,
+		kit.ram_mb ? kit.ram_mb : 260);
 	fclose(f);
 }
 
