--- a/review/support-3/kit.h
+++ b/review/support-3/kit.h
@@ -127,6 +127,20 @@
 	kit.pid_count = 0;
 }
 
+/* The gateways' logs can have hundreds of megabytes. */
+static void kit_remove_folder(void)
+{
+	char path[192];
+
+	for (int i = 0; i < kit.gateway_count; i++) {
+		unlink(kit.gateways[i].settings);
+		unlink(kit.gateways[i].log);
+	}
+	snprintf(path, sizeof(path), "%s/store.log", kit.dir);
+	unlink(path);
+	rmdir(kit.dir);
+}
+
 __attribute__((noreturn, format(printf, 2, 3))) static void
 kit_end(int code, const char *fmt, ...)
 {
@@ -141,6 +155,7 @@
 	printf("%s: %s\n", words[code], text);
 	fflush(stdout);
 	kit_end_processes();
+	kit_remove_folder();
 	_exit(code);
 }
 
@@ -708,6 +723,7 @@
 {
 	(void)sig;
 	kit_end_processes();
+	kit_remove_folder();
 	_exit(KIT_CANNOT);
 }
 
