Use no list of servers from before a daemon led (DRAIN)

What callers saw: requests, also ones that must not be repeated, reached a server up to 4.8 s after the store had acknowledged that it was gone.

Cause: the daemons that lead next keep a copy of the list that is up to 10 s old. A new leader waited for its first read of the store, but put the copy into force as soon as that read had failed: it took its own failure for an outage. The third daemon, which could read the store, led 0.65 s later.

Evidence: the first late request came 956 ms after the kill, one timeout of a read after the second daemon had begun to lead; the last one 1,600 ms after it.

Change: fleet_servers.c decides before each grant whether the list may be used: it has been read since this daemon leads; or the store cannot be read, and another daemon has read the list less than 1.5 s ago; or no other daemon of the domain has taken over within a second after this one reported that it cannot read the store. Such a leader fetches the list from the brokers of other domains. The daemons that lead next try to read at that report and not only after their interval.

--- a/include/gateway/feed.h
+++ b/include/gateway/feed.h
@@ -59,8 +59,8 @@
  * feed. */
 GArray *cgw_feed_servers(struct cgw_feed *f);
 /** Takes a list of servers that another daemon has read at @p read_at, on this
- * daemon's clock. Ignored if this daemon has a later one, or polls the store and
- * has any. */
+ * daemon's clock. Ignored if this daemon has a later one, or has any and can read
+ * the store itself. */
 void cgw_feed_take_servers(struct cgw_feed *f,
 			   const struct cgw_server_facts *servers, size_t n,
 			   uint64_t era, cg_ms read_at);
--- a/src/gateway/feed_servers.c
+++ b/src/gateway/feed_servers.c
@@ -206,9 +206,12 @@
 			   const struct cgw_server_facts *servers, size_t n,
 			   uint64_t era, cg_ms read_at)
 {
-	if ((f->polling && f->servers_read_at >= 0) ||
+	if ((f->polling && f->servers_read_at >= 0 &&
+	     !cgw_feed_is_unreachable(f)) ||
 	    read_at <= f->servers_read_at)
 		return;
+	/* The changes since the former list would be applied to this one. */
+	f->readers[READER_SERVERS].revision = 0;
 	g_hash_table_remove_all(f->listed_servers);
 	for (size_t i = 0; i < n; i++)
 		cgw_feed_list_server(f, &servers[i]);
--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -16,7 +16,9 @@
 		return;
 	f->leading = leading;
 	f->leading_since = cgw_loop_now(f->loop);
-	f->servers_fresh = false;
+	f->servers_usable = false;
+	f->reported_eligibility = CGW_ELIGIBILITY_UNREPORTED;
+	f->degraded_since = 0;
 	cgw_broker_set_servers_outdated(f->broker, true);
 	if (leading)
 		cgw_quota_begin_to_lead(cgw_broker_quota(f->broker),
@@ -46,15 +48,7 @@
 
 void cgw_fleet_handle_server_list(struct cgw_fleet *f)
 {
-	/* The list in force can change without having been read since this
-	 * daemon leads, for example when entries that had expired are dropped. */
-	if (!f->leading ||
-	    (cgw_feed_servers_read_at(*f->feed) < f->leading_since &&
-	     !cgw_feed_is_unreachable(*f->feed)))
-		return;
-	f->servers_fresh = true;
-	cgw_broker_set_servers_outdated(f->broker, false);
-	cgw_fleet_submit_pending(f);
+	cgw_fleet_update_servers_usable(f);
 }
 
 static void on_tick(struct cgw_timer *t)
@@ -69,11 +63,7 @@
 	cgw_fleet_check_proof(f);
 	cgw_fleet_check_servers(f);
 	cgw_fleet_check_era(f);
-	/* While the store is unreachable, the last known list of servers is
-	 * better than none. That must have been seen since this daemon leads: a
-	 * failure of long ago would put servers into use that have left. */
-	if (!f->servers_fresh && cgw_feed_is_unreachable(*f->feed))
-		cgw_fleet_handle_server_list(f);
+	cgw_fleet_update_servers_usable(f);
 	cgw_fleet_handle_evacuation(f);
 	if (f->leading) {
 		cgw_fleet_expire_followers(f);
--- a/src/gateway/fleet_evacuation.c
+++ b/src/gateway/fleet_evacuation.c
@@ -16,7 +16,7 @@
 
 bool cgw_fleet_may_decide(struct cgw_fleet *f)
 {
-	return f->servers_fresh &&
+	return f->servers_usable &&
 	       evacuation_known_until(f) >= cgw_loop_now(f->loop);
 }
 
--- a/src/gateway/fleet_heartbeat.c
+++ b/src/gateway/fleet_heartbeat.c
@@ -126,13 +126,6 @@
 	g_ptr_array_unref(a);
 }
 
-bool cgw_fleet_servers_are_recent(struct cgw_fleet *f)
-{
-	return f->servers_fresh &&
-	       cgw_loop_now(f->loop) - cgw_feed_servers_read_at(*f->feed) <
-		       SERVERS_MAX_AGE_MS;
-}
-
 void cgw_fleet_send_heartbeat(struct cgw_fleet *f)
 {
 	cg_ms now = cgw_loop_now(f->loop);
--- a/src/gateway/fleet_internal.h
+++ b/src/gateway/fleet_internal.h
@@ -1,8 +1,9 @@
 /**
  * @file fleet_internal.h
  * Declarations shared by the files of the fleet: fleet_members.c (liveness of
- * the daemons and choice of the leader), fleet_reads.c (when the store and other
- * daemons are read), fleet_era.c (return of the store from an older copy),
+ * the daemons and choice of the leader), fleet_reads.c (when the configuration is
+ * read), fleet_servers.c (use of the list of servers), fleet_era.c (return of the
+ * store from an older copy),
  * fleet_heartbeat.c (heartbeats between the brokers of the domains),
  * fleet_evacuation.c (whether the own domain is evacuated), fleet_slots.c (slot
  * requests and decisions),
@@ -109,6 +110,7 @@
 
 /* How eligible a daemon is to lead, from least to most; sent as a number. */
 enum cgw_eligibility {
+	CGW_ELIGIBILITY_UNREPORTED = -1, /* never sent */
 	CGW_ELIGIBILITY_LEAVING,
 	CGW_ELIGIBILITY_NO_CONFIG_NO_STORE,
 	CGW_ELIGIBILITY_NO_CONFIG, /* the store has no configuration yet */
@@ -146,6 +148,9 @@
 	unsigned int domain_daemons; /* as the leader last reported */
 	cg_ms servers_fetched_at; /* last fetch from another daemon */
 	int reported_eligibility; /* as the best daemons of the domain know it */
+	/* When this leader reported that it cannot read the store; 0 if it
+	 * can. */
+	cg_ms degraded_since;
 	/* When the leader began to report that it cannot read the store; 0 if
 	 * it can. */
 	cg_ms leader_degraded_at;
@@ -174,7 +179,7 @@
 	cg_ms next_store_read_at; /* by cgw_fleet_check_proof(); 0: none yet */
 	struct cgw_broker *broker;
 	struct cgw_server_notices *notices; /* to this daemon */
-	bool servers_fresh; /* list read since this daemon leads */
+	bool servers_usable; /* the own broker may grant by the list */
 	/* request of another daemon that is being submitted, or NULL */
 	const struct cgw_slot_request *submitted;
 	bool decision_made; /* the broker decided it during the submission */
@@ -251,10 +256,18 @@
 /** Returns the version of the own configuration; 0 for none. */
 uint64_t cgw_fleet_config_version(struct cgw_fleet *f);
 
-/* fleet_reads.c */
+/* fleet_servers.c */
 /** Fetches the list of servers from another daemon if this one is among those
  * that lead next, or if it leads and cannot read the store. */
 void cgw_fleet_check_servers(struct cgw_fleet *f);
+/** Decides again whether the own broker may grant by the list of servers, and
+ * submits the slot requests that waited if it may. */
+void cgw_fleet_update_servers_usable(struct cgw_fleet *f);
+/** Returns whether the list of servers is recent enough to serve requests of
+ * other domains. */
+bool cgw_fleet_servers_are_recent(struct cgw_fleet *f);
+
+/* fleet_reads.c */
 /** Reads the store if the leader cannot prove that the configuration is the
  * latest. */
 void cgw_fleet_check_proof(struct cgw_fleet *f);
@@ -275,9 +288,6 @@
 void cgw_fleet_check_era(struct cgw_fleet *f);
 
 /* fleet_heartbeat.c */
-/** Returns whether the list of servers is recent enough to serve requests of
- * other domains. */
-bool cgw_fleet_servers_are_recent(struct cgw_fleet *f);
 /** Sends a heartbeat to the brokers of the other domains. */
 void cgw_fleet_send_heartbeat(struct cgw_fleet *f);
 /** Records what the broker of another domain reports: its free slots, its
@@ -321,8 +331,8 @@
 void cgw_fleet_deliver_own_decisions(struct cgw_timer *t);
 
 /* fleet_evacuation.c */
-/** Returns whether the own broker may decide: the list of servers has been read
- * since this daemon leads, and whether the domain is evacuated is known. */
+/** Returns whether the own broker may decide: the list of servers is in use, and
+ * whether the domain is evacuated is known. */
 bool cgw_fleet_may_decide(struct cgw_fleet *f);
 /** Sets what this daemon knows of the evacuation of its domain in a pong. */
 void cgw_fleet_fill_evacuation(struct cgw_fleet *f, fleet_pong *p);
--- a/src/gateway/fleet_members.c
+++ b/src/gateway/fleet_members.c
@@ -576,6 +576,11 @@
 	if (!f->leading || eligibility == f->reported_eligibility)
 		return;
 	f->reported_eligibility = eligibility;
+	f->degraded_since =
+		eligibility == CGW_ELIGIBILITY_FULL ||
+				eligibility == CGW_ELIGIBILITY_NO_CONFIG
+			? 0
+			: cgw_loop_now(f->loop);
 	for (guint i = 0; i < a->len; i++) {
 		struct cgw_member *m = g_ptr_array_index(a, i);
 
@@ -655,6 +660,15 @@
 		       OTHER_BROKER_TIMEOUT_MS;
 }
 
+/* Those that lead next try to read the store at once: until one of them leads,
+ * the requests of the domain may have to wait. */
+static void record_degraded_leader(struct cgw_fleet *f)
+{
+	f->leader_degraded_at = cgw_loop_now(f->loop);
+	if (cgw_fleet_leads_next(f))
+		f->next_store_read_at = f->leader_degraded_at;
+}
+
 void cgw_fleet_handle_pong(struct cgw_fleet *f, struct cgw_member *m,
 			   const fleet_pong *p)
 {
@@ -691,7 +705,7 @@
 		if (!cgw_fleet_cannot_read_store(m))
 			f->leader_degraded_at = 0;
 		else if (!f->leader_degraded_at)
-			f->leader_degraded_at = cgw_loop_now(f->loop);
+			record_degraded_leader(f);
 	}
 	if (p->config_version > cgw_fleet_config_version(f)) {
 		if (p->config_source_ip &&
--- a/src/gateway/fleet_reads.c
+++ b/src/gateway/fleet_reads.c
@@ -1,7 +1,5 @@
 #include "fleet_internal.h"
 
-#include <string.h>
-
 /* Those that lead next try one after the other, so that not all of them take
  * over at once. */
 static cg_ms takeover_delay(struct cgw_fleet *f,
@@ -85,36 +83,3 @@
 		now + (cg_ms)((0.5 + g_random_double()) * (double)interval);
 	cgw_feed_refresh(*f->feed);
 }
-
-void cgw_fleet_check_servers(struct cgw_fleet *f)
-{
-	cg_ms now = cgw_loop_now(f->loop);
-	struct cgw_member *leader = cgw_fleet_member(f, f->leader);
-	cg_ms read_at = cgw_feed_servers_read_at(*f->feed);
-	const struct other_broker *chosen = NULL;
-	guint seen = 0;
-	GHashTableIter it;
-	gpointer value;
-
-	if (leader && !f->leading) {
-		if ((read_at >= 0 &&
-		     now - read_at < SERVERS_COPY_INTERVAL_MS) ||
-		    now - f->servers_fetched_at < SERVERS_ASK_INTERVAL_MS ||
-		    !cgw_fleet_is_alive(f, leader) || !cgw_fleet_leads_next(f))
-			return;
-		f->servers_fetched_at = now;
-		cgw_handoff_fetch_servers(f->handoff, leader->ip);
-		return;
-	}
-	if (!f->leading || read_at >= 0 || cgw_feed_is_healthy(*f->feed) ||
-	    now - f->servers_fetched_at < SERVERS_ASK_INTERVAL_MS)
-		return;
-	f->servers_fetched_at = now;
-	/* A random one, since the first may have failed. */
-	g_hash_table_iter_init(&it, f->other_brokers);
-	while (g_hash_table_iter_next(&it, NULL, &value))
-		if (g_random_int() % ++seen == 0)
-			chosen = value;
-	if (chosen)
-		cgw_handoff_fetch_servers(f->handoff, chosen->ip);
-}
