Set the window of a test's slow callers before they connect

The callers now set the same buffer before they connect, as test_system_memory does, so that the sender never sees a larger window.

--- a/tests/test_system_connections.c
+++ b/tests/test_system_connections.c
@@ -5,6 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 /* cmocka needs the headers above it. */
+#include <arpa/inet.h>
 #include <cmocka.h>
 #include <signal.h>
 #include <stdlib.h>
@@ -127,12 +128,20 @@
 
 static int open_slow_caller(struct gateway_fleet *f)
 {
-	int fd = gf_send_raw(f, 0, "");
+	struct sockaddr_in a = { .sin_family = AF_INET,
+				 .sin_port = htons(f->ports) };
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	int window = WINDOW;
+	char *ip = gf_daemon_ip(0);
 
+	/* Set later, it would be smaller than a segment that the sender may
+	 * send, which the kernel then drops each time. */
 	assert_int_equal(
 		setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &window, sizeof(window)),
 		0);
+	inet_pton(AF_INET, ip, &a.sin_addr);
+	assert_int_equal(connect(fd, (struct sockaddr *)&a, sizeof(a)), 0);
+	g_free(ip);
 	return fd;
 }
 
