--- a/src/gateway/ingress_private.h
+++ b/src/gateway/ingress_private.h
@@ -76,13 +76,14 @@
 /** Counts and logs a caller that has stopped sending or reading. */
 void cgw_connection_report_stall(const struct cgw_exchange *x);
 /** Closes the connection that has been idle for the longest time among those that
- * hold at least @p memory bytes, except @p but and the newest one, whose request
- * is on the way. Returns false if there is none. */
+ * hold at least @p memory bytes, except @p but, those whose callers are receiving a
+ * response, and the newest one, whose request is on the way. Returns false if there
+ * is none. */
 bool cgw_ingress_close_longest_idle(struct cgw_ingress *in,
 				    const struct connection *but,
 				    int64_t memory);
-/** Closes a connection, except @p but, whose request has stopped arriving.
- * Returns false if there is none. */
+/** Closes a connection, except @p but and those whose callers are receiving a
+ * response, whose request has stopped arriving. Returns false if there is none. */
 bool cgw_ingress_close_stalled(struct cgw_ingress *in,
 			       const struct connection *but);
 /** Returns the idle timeout in force, in milliseconds. */
--- a/src/gateway/ingress_timeouts.c
+++ b/src/gateway/ingress_timeouts.c
@@ -48,6 +48,20 @@
 						     "arriving");
 }
 
+static cg_ms idle_time(const struct connection *c)
+{
+	return cgw_loop_now(c->ingress->gateway->loop) -
+	       MAX(c->idle_since, c->last_bytes_at);
+}
+
+/* Returns whether the caller of a connection may still be receiving a response that
+ * the gateway has sent: a close would cut it. */
+static bool is_receiving(const struct connection *c)
+{
+	return cgw_linger_has_unsent(c->io.fd) &&
+	       idle_time(c) < cgw_ingress_idle_timeout(c->ingress);
+}
+
 bool cgw_ingress_close_longest_idle(struct cgw_ingress *in,
 				    const struct connection *but,
 				    int64_t memory)
@@ -58,7 +72,8 @@
 		if (c->node.next == &in->connections)
 			break;
 		if (c == but || c->memory < memory ||
-		    !cgw_connection_is_idle(c) || cgw_connection_has_unread(c))
+		    !cgw_connection_is_idle(c) ||
+		    cgw_connection_has_unread(c) || is_receiving(c))
 			continue;
 		cgw_connection_close(c);
 		return true;
@@ -90,7 +105,7 @@
 
 	cds_list_for_each_entry(c, &in->connections, node) {
 		if (c == but || !is_stalled(c, CG_MEMORY_STALLED_MS) ||
-		    cgw_connection_has_unread(c))
+		    cgw_connection_has_unread(c) || is_receiving(c))
 			continue;
 		cg_count(CG_COUNTER_BODIES_STALLED);
 		c->stalled = true;
@@ -104,8 +119,7 @@
  * that is not read yet count as activity. */
 static bool is_expired(const struct connection *c, cg_ms timeout)
 {
-	cg_ms idle = cgw_loop_now(c->ingress->gateway->loop) -
-		     MAX(c->idle_since, c->last_bytes_at);
+	cg_ms idle = idle_time(c);
 
 	return cgw_connection_is_idle(c) && idle >= timeout &&
 	       (idle >= timeout * UNDELIVERED_FACTOR ||
@@ -125,7 +139,7 @@
 		bool stalled = is_stalled(c, body ? body : idle);
 
 		if ((!stalled && !is_expired(c, idle)) ||
-		    cgw_connection_has_unread(c))
+		    cgw_connection_has_unread(c) || is_receiving(c))
 			continue;
 		if (stalled)
 			cgw_connection_report_stall(arriving_request(c));
--- a/tests/test_system_connections.c
+++ b/tests/test_system_connections.c
@@ -33,6 +33,11 @@
 #define LATE_MS		   3200 /* after SIGTERM */
 #define LATE_WORK_MS	   4000
 #define RESPONSE_TAIL_SIZE 4096
+/* A limit of descriptors, and callers that come near it. */
+#define FEW_DESCRIPTORS 400
+#define CROWD		170
+/* The gateway has handed a response to its socket by then. */
+#define IN_SOCKET_MS 500
 #define LONG_ROUTE                                                             \
 	",{\"name\":\"long\",\"kind\":\"unsafe\",\"slo_ms\":5000,"             \
 	"\"priority\":1,\"match\":{\"path_prefix\":\"/long/\"},"               \
@@ -263,6 +268,53 @@
 	g_free(answer);
 }
 
+static void send_requests(const int *fds, char part)
+{
+	for (unsigned int i = 0; i < CALLERS; i++) {
+		char *text = format_request("GET", "/safe/x", i, part);
+
+		send_text(fds[i], text);
+		g_free(text);
+	}
+}
+
+/* A gateway that ran short of connections closed those whose callers were still
+ * reading their responses. A further request then reset them. */
+static void
+slow_readers_get_whole_responses_when_connections_run_short(void **state)
+{
+	static int crowd[CROWD];
+	struct gateway_fleet f;
+	int fds[CALLERS];
+	char *answer;
+
+	(void)state;
+	gf_prepare(&f, 2);
+	f.descriptors[0] = FEW_DESCRIPTORS;
+	gf_start_daemons(&f);
+	gf_put_config(&f, true, 0, 0, "");
+	gf_wait_ready(&f);
+	answer = send_long_bodies(&f, LONG_BODY);
+	for (unsigned int i = 0; i < CALLERS; i++)
+		fds[i] = open_slow_caller(&f);
+	send_requests(fds, 'a');
+	g_usleep(IN_SOCKET_MS * 1000);
+	for (int i = 0; i < CROWD; i++)
+		crowd[i] = gf_send_raw(&f, 0, "");
+	send_requests(fds, 'b');
+	for (unsigned int i = 0; i < CALLERS; i++) {
+		GString *got = read_slowly(fds[i]);
+
+		assert_true(got->len >= LONG_BODY);
+		g_string_free(got, TRUE);
+		close(fds[i]);
+	}
+	for (int i = 0; i < CROWD; i++)
+		close(crowd[i]);
+	gf_stop(&f);
+	g_free(answer);
+}
+
 /* A response that was begun before SIGTERM does not end its connection. A request
  * behind it, late in the grace time, was passed on and broken off at its end. */
 static void stop_passes_on_no_request_late_in_the_grace_time(void **state)
@@ -373,6 +425,8 @@
 		cmocka_unit_test(
 			stop_passes_on_no_request_late_in_the_grace_time),
 		cmocka_unit_test(stop_passes_on_no_upload_that_ends_late),
+		cmocka_unit_test(
+			slow_readers_get_whole_responses_when_connections_run_short),
 		cmocka_unit_test(refused_upload_gets_its_response),
 	};
 
