Let a leader that stood still begin to lead again (QUOTA)

Cause: a leader that goes on after a suspension does not notice that it was replaced. Its bucket is refilled for the whole suspension, and it is followed again at once, so that it and its successor both admit the burst. A leader that takes over starts with one token; one that goes on did not. Its list of servers, too, is from before.

Change: the event loop reports a pause before it handles the events that arrived in it. A leader that has stood still for as long as its followers wait for it (750 ms) begins to lead again: with one token for each account, and without grants before it has read the list of servers.

--- a/include/gateway/loop.h
+++ b/include/gateway/loop.h
@@ -28,6 +28,14 @@
 	void (*fire)(struct cgw_timer *t);
 };
 
+/** Notices that the process has stood still, or has been too busy to handle
+ * events. */
+struct cgw_pause_watch {
+	cg_ms min_ms; /**< Shorter pauses are ignored. */
+	/** Called after a pause, before any event that has arrived in it. */
+	void (*paused)(struct cgw_pause_watch *w, cg_ms ms);
+};
+
 struct cgw_loop;
 
 /** Creates a loop that reads the time from @p clk. Returns NULL if epoll cannot
@@ -51,6 +59,9 @@
 /** Disarms a timer; does nothing if it is not armed. */
 void cgw_timer_cancel(struct cgw_loop *l, struct cgw_timer *t);
 
+/** Sets the watch of a loop, which must outlive it or be replaced; NULL: none. */
+void cgw_loop_watch_pauses(struct cgw_loop *l, struct cgw_pause_watch *w);
+
 /** Waits for at most @p max_wait ms, then handles the ready descriptors and the
  * expired timers. Returns 0, or -1 if epoll failed. */
 int cgw_loop_step(struct cgw_loop *l, cg_ms max_wait);
--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -30,6 +30,25 @@
 		cgw_evacuations_set_reading(f->evacuations, leading);
 }
 
+/* What a leader knew when another one replaced it is old: its list of servers may
+ * name some that have left, and the other one has admitted what it would. */
+static void begin_to_lead_again(struct cgw_fleet *f)
+{
+	cgw_fleet_set_leading(f, false);
+	cgw_fleet_set_leading(f, cgw_fleet_is_followed(f));
+}
+
+static void on_pause(struct cgw_pause_watch *w, cg_ms ms)
+{
+	struct cgw_fleet *f =
+		caa_container_of(w, struct cgw_fleet, pause_watch);
+
+	if (!f->leading)
+		return;
+	cg_info("has stood still for %d ms and begins to lead again", (int)ms);
+	begin_to_lead_again(f);
+}
+
 void cgw_fleet_submit_pending(struct cgw_fleet *f)
 {
 	GArray *pending = f->pending_requests;
@@ -132,6 +151,9 @@
 	f->next_id = incarnation;
 	f->started_at = cgw_loop_now(l);
 	f->tick_timer.fire = on_tick;
+	f->pause_watch.min_ms = REPLACED_AFTER_MS;
+	f->pause_watch.paused = on_pause;
+	cgw_loop_watch_pauses(l, &f->pause_watch);
 	if (inet_pton(AF_INET, s->address, &f->ip) == 1 && !open_socket(f)) {
 		cgw_timer_arm(l, &f->tick_timer, f->started_at + TICK_MS);
 		return f;
@@ -146,6 +168,7 @@
 {
 	if (!f)
 		return;
+	cgw_loop_watch_pauses(f->loop, NULL);
 	cgw_timer_cancel(f->loop, &f->tick_timer);
 	cgw_timer_cancel(f->loop, &f->decision_timer);
 	g_queue_clear_full(&f->own_decisions, g_free);
--- a/src/gateway/fleet_internal.h
+++ b/src/gateway/fleet_internal.h
@@ -49,6 +49,8 @@
 /* A daemon that has just started waits this long for pongs before it chooses a
  * leader. */
 #define STARTUP_GRACE_MS 400
+/* A leader that has stood still for this long has been replaced. */
+#define REPLACED_AFTER_MS LEADER_TIMEOUT_MS
 /* The requests and held slots of a follower that has been silent for this long
  * end. */
 #define FOLLOWER_TIMEOUT_MS 1500
@@ -162,6 +164,7 @@
 	struct cgw_io io;
 	struct in_addr ip;
 	struct cgw_timer tick_timer;
+	struct cgw_pause_watch pause_watch;
 	GHashTable *members; /* name to struct cgw_member */
 	GPtrArray *ranking; /* members of the own domain, see ranking() */
 	bool ranking_outdated;
--- a/src/gateway/loop.c
+++ b/src/gateway/loop.c
@@ -12,6 +12,7 @@
 	struct cg_clock *clk;
 	cg_ms now;
 	int epfd;
+	struct cgw_pause_watch *pause_watch; /* not owned; NULL: none */
 	GPtrArray *heap; /* binary heap of struct cgw_timer by expires_at */
 	struct epoll_event batch[BATCH];
 	int batch_len;
@@ -161,15 +162,34 @@
 	}
 }
 
+void cgw_loop_watch_pauses(struct cgw_loop *l, struct cgw_pause_watch *w)
+{
+	l->pause_watch = w;
+}
+
+/* @idle is the part of the time since the last step that was meant to be spent
+ * waiting. */
+static void check_pause(struct cgw_loop *l, cg_ms last_step_at, cg_ms idle)
+{
+	struct cgw_pause_watch *w = l->pause_watch;
+	cg_ms pause = l->now - last_step_at - idle;
+
+	if (w && pause >= w->min_ms)
+		w->paused(w, pause);
+}
+
 int cgw_loop_step(struct cgw_loop *l, cg_ms max_wait)
 {
-	int n;
+	cg_ms last_step_at = l->now;
+	int wait, n;
 
 	l->now = cg_clock_now(l->clk);
-	n = epoll_wait(l->epfd, l->batch, BATCH, wait_time(l, max_wait));
+	wait = wait_time(l, max_wait);
+	n = epoll_wait(l->epfd, l->batch, BATCH, wait);
 	l->now = cg_clock_now(l->clk);
 	if (n < 0 && errno != EINTR)
 		return -1;
+	check_pause(l, last_step_at, wait);
 	l->batch_len = n < 0 ? 0 : n;
 	for (l->batch_pos = 0; l->batch_pos < l->batch_len;) {
 		struct epoll_event *e = &l->batch[l->batch_pos++];
--- a/tests/test_gateway_loop.c
+++ b/tests/test_gateway_loop.c
@@ -61,6 +61,49 @@
 	cgw_loop_free(l);
 }
 
+struct pause_record {
+	struct cgw_pause_watch watch;
+	cg_ms ms; /* of the last pause */
+	int count;
+};
+
+static void record_pause(struct cgw_pause_watch *w, cg_ms ms)
+{
+	struct pause_record *r =
+		caa_container_of(w, struct pause_record, watch);
+
+	r->ms = ms;
+	r->count++;
+}
+
+/* A process that was suspended took what it knew from before for the present
+ * state. Waiting for a timer is no pause. */
+static void pause_is_noticed_once(void **state)
+{
+	struct pause_record r = { .watch = { .min_ms = 750,
+					     .paused = record_pause } };
+	struct cgw_timer t = { .fire = check_order };
+	struct cg_clock clk;
+	struct cgw_loop *l;
+
+	(void)state;
+	cg_clock_init_manual(&clk, 1000);
+	l = cgw_loop_new(&clk);
+	cgw_loop_watch_pauses(l, &r.watch);
+	cg_clock_set(&clk, 1749);
+	cgw_loop_step(l, 0);
+	assert_int_equal(r.count, 0);
+	cg_clock_set(&clk, 5749);
+	cgw_loop_step(l, 0);
+	cgw_loop_step(l, 0);
+	assert_int_equal(r.count, 1);
+	assert_int_equal(r.ms, 4000);
+	cgw_timer_arm(l, &t, 5769);
+	cgw_loop_step(l, 20);
+	assert_int_equal(r.count, 1);
+	cgw_loop_free(l);
+}
+
 struct pair {
 	struct cgw_io io;
 	struct cgw_loop *loop;
@@ -110,6 +153,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(timers_fire_in_order_of_expiry),
+		cmocka_unit_test(pause_is_noticed_once),
 		cmocka_unit_test(removed_descriptor_gets_no_event),
 	};
 
