--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -32,7 +32,7 @@
 
 /* What a leader knew when another one replaced it is old: its list of servers may
  * name some that have left, and the other one has admitted what it would. */
-static void begin_to_lead_again(struct cgw_fleet *f)
+void cgw_fleet_begin_to_lead_again(struct cgw_fleet *f)
 {
 	cgw_fleet_set_leading(f, false);
 	cgw_fleet_set_leading(f, cgw_fleet_is_followed(f));
@@ -46,7 +46,7 @@
 	if (!f->leading)
 		return;
 	cg_info("has stood still for %d ms and begins to lead again", (int)ms);
-	begin_to_lead_again(f);
+	cgw_fleet_begin_to_lead_again(f);
 }
 
 void cgw_fleet_submit_pending(struct cgw_fleet *f)
--- a/src/gateway/fleet_internal.h
+++ b/src/gateway/fleet_internal.h
@@ -238,6 +238,9 @@
 /** Returns whether a daemon has sent a message since @p since; if not, pings it.
  * The heard_since function of the broker; @p arg is the fleet. */
 bool cgw_fleet_heard_since(void *arg, const char *daemon, cg_ms since);
+/** Records that a daemon follows this one. A leader that most of its domain comes
+ * back to begins to lead again. */
+void cgw_fleet_record_follower(struct cgw_fleet *f, struct cgw_member *m);
 /** Ends the requests and held slots of followers that have become silent. */
 void cgw_fleet_expire_followers(struct cgw_fleet *f);
 /** Returns the number of daemons that follow this one. */
@@ -348,5 +351,8 @@
 /** Starts or ends the work of a leader: only a daemon that leads polls the
  * store and ticks its broker. */
 void cgw_fleet_set_leading(struct cgw_fleet *f, bool leading);
+/** Makes a leader that may have been replaced meanwhile start as one that takes over.
+ */
+void cgw_fleet_begin_to_lead_again(struct cgw_fleet *f);
 
 #endif
--- a/src/gateway/fleet_members.c
+++ b/src/gateway/fleet_members.c
@@ -518,28 +518,66 @@
 	       m->eligibility != CGW_ELIGIBILITY_LEAVING;
 }
 
-double cgw_fleet_rate_share(struct cgw_fleet *f)
+static bool follows_this(struct cgw_fleet *f, const struct cgw_member *m)
+{
+	return cgw_loop_now(f->loop) - m->last_follow_at < FOLLOWER_TIMEOUT_MS;
+}
+
+/* Counts the daemons of the own domain that follow this one, and all that count as
+ * its members; both include this one. */
+static void count_domain(struct cgw_fleet *f, unsigned int *followers,
+			 unsigned int *members)
 {
-	cg_ms now = cgw_loop_now(f->loop);
-	unsigned int followers = 1, members = 1;
 	GHashTableIter it;
 	gpointer value;
-	bool follows;
 
+	*followers = *members = 1;
 	g_hash_table_iter_init(&it, f->members);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct cgw_member *m = value;
+		bool follows = follows_this(f, m);
 
 		if (!cgw_fleet_own_domain(f, m))
 			continue;
-		follows = now - m->last_follow_at < FOLLOWER_TIMEOUT_MS;
-		followers += follows;
-		members += follows || may_lead_elsewhere(f, m);
+		*followers += follows;
+		*members += follows || may_lead_elsewhere(f, m);
 	}
+}
+
+/* Returns whether another daemon may have led the domain: this one has led for a
+ * while, and no more than half of the domain has followed it. */
+static bool may_have_been_replaced(struct cgw_fleet *f)
+{
+	unsigned int followers, members;
+
+	if (!f->leading ||
+	    cgw_loop_now(f->loop) - f->leading_since < FOLLOWER_TIMEOUT_MS)
+		return false;
+	count_domain(f, &followers, &members);
+	return members > 1 && followers * 2 <= members;
+}
+
+void cgw_fleet_record_follower(struct cgw_fleet *f, struct cgw_member *m)
+{
+	if (!follows_this(f, m) && may_have_been_replaced(f)) {
+		cg_info("%s follows this daemon again, which few have followed; "
+			"begins to lead again",
+			m->name);
+		cgw_fleet_begin_to_lead_again(f);
+	}
+	m->last_follow_at = cgw_loop_now(f->loop);
+}
+
+double cgw_fleet_rate_share(struct cgw_fleet *f)
+{
+	cg_ms now = cgw_loop_now(f->loop);
+	unsigned int followers, members;
+
 	/* When the whole domain has just started, the others have not had time
 	 * to follow this daemon. */
 	if (now - f->started_at < FOLLOWER_TIMEOUT_MS)
 		return 1;
+	count_domain(f, &followers, &members);
 	return cgw_quota_broker_share(followers, members);
 }
 
@@ -622,7 +660,7 @@
 		end_following(f, m);
 		return;
 	}
-	m->last_follow_at = now;
+	cgw_fleet_record_follower(f, m);
 	held = g_new0(struct cgw_held_slot, p->held_slots.held_slots_len + 1);
 	for (u_int i = 0; i < p->held_slots.held_slots_len; i++) {
 		const fleet_held_slot *h = &p->held_slots.held_slots_val[i];
--- a/src/gateway/fleet_slots.c
+++ b/src/gateway/fleet_slots.c
@@ -483,7 +483,7 @@
 		return;
 	}
 	if (!request.cross_domain)
-		m->last_follow_at = now;
+		cgw_fleet_record_follower(f, m);
 	f->decision_made = false;
 	f->submitted = &request;
 	cgw_fleet_submit_request(f, &request);
--- a/tests/test_system_connections.c
+++ b/tests/test_system_connections.c
@@ -1,11 +1,11 @@
 /* Tests that callers who use one connection for several requests get what a
  * caller with one connection a request gets. */
+#include <arpa/inet.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
 /* cmocka needs the headers above it. */
-#include <arpa/inet.h>
 #include <cmocka.h>
 #include <signal.h>
 #include <stdlib.h>
--- a/tests/test_system_takeover.c
+++ b/tests/test_system_takeover.c
@@ -1,6 +1,6 @@
 /* Tests whole gateway processes whose leader is lost while the store turns the
- * daemon away that leads next. Guards against grants by a list of servers from
- * before it led, which names servers that have left. */
+ * daemon away that leads next, or is cut off for a while. Guards against grants by a
+ * list of servers from before, which names servers that have left. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -31,11 +31,12 @@
 
 static struct gateway_fleet fleet;
 
-static void start(void)
+/* Starts a fleet whose daemon @turned can be turned away by the store. */
+static void start(unsigned int turned)
 {
 	gf_prepare(&fleet, DAEMONS);
-	fleet.store_port[NEXT] = objects_second_port(fleet.store);
-	assert_int_not_equal(fleet.store_port[NEXT], 0);
+	fleet.store_port[turned] = objects_second_port(fleet.store);
+	assert_int_not_equal(fleet.store_port[turned], 0);
 	gf_start_daemons(&fleet);
 	gf_put_config(&fleet, true, 0, 0, "");
 	gf_wait_ready(&fleet);
@@ -88,7 +89,7 @@
 static void leader_that_is_turned_away_uses_no_old_list(void **state)
 {
 	(void)state;
-	start();
+	start(NEXT);
 	kill_other_domain();
 	assert_int_equal(requests_to_server_that_left(), 0);
 	gf_stop(&fleet);
@@ -98,7 +99,7 @@
 static void leader_that_is_turned_away_fetches_the_list(void **state)
 {
 	(void)state;
-	start();
+	start(NEXT);
 	assert_int_equal(requests_to_server_that_left(), 0);
 	gf_stop(&fleet);
 }
@@ -120,7 +121,7 @@
 	gint64 killed_at;
 
 	(void)state;
-	start();
+	start(NEXT);
 	kill_other_domain();
 	objects_set_fault(fleet.store, OBJECTS_FAULT_NO_RESPONSE);
 	g_usleep(TURNED_MS * 1000);
@@ -136,6 +137,34 @@
 	gf_stop(&fleet);
 }
 
+static void signal_followers(int sig)
+{
+	for (unsigned int i = NEXT; i < PER_DOMAIN; i++)
+		kill(fleet.pids[i], sig);
+}
+
+/* For a leader that is cut off from all other daemons and the store, these are as
+ * if suspended. At its return it took its own cut for an outage of the store, and
+ * kept servers that the store no longer listed in use. */
+static void leader_that_was_cut_off_uses_no_server_that_has_left(void **state)
+{
+	int before;
+
+	(void)state;
+	start(LEADER);
+	objects_cut_second_port(fleet.store, true);
+	signal_followers(SIGSTOP);
+	g_usleep(TURNED_MS * 1000);
+	objects_remove(fleet.store, "servers", "s0");
+	g_usleep(SERVER_DRAIN_MS * 1000);
+	before = fleet.servers[0].requests;
+	objects_cut_second_port(fleet.store, false);
+	signal_followers(SIGCONT);
+	assert_true(call_follower() > 0);
+	assert_int_equal(fleet.servers[0].requests, before);
+	gf_stop(&fleet);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -143,6 +172,8 @@
 		cmocka_unit_test(leader_that_is_turned_away_fetches_the_list),
 		cmocka_unit_test(
 			old_list_is_used_if_no_daemon_can_read_the_store),
+		cmocka_unit_test(
+			leader_that_was_cut_off_uses_no_server_that_has_left),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
