--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -30,8 +30,8 @@
 		cgw_evacuations_set_reading(f->evacuations, leading);
 }
 
-/* What a leader knew when another one replaced it is old: its list of servers may
- * name some that have left, and the other one has admitted what it would. */
+/* While another daemon led, servers may have left, and client accounts may have used
+ * their bursts there. */
 void cgw_fleet_begin_to_lead_again(struct cgw_fleet *f)
 {
 	cgw_fleet_set_leading(f, false);
@@ -45,7 +45,7 @@
 
 	if (!f->leading)
 		return;
-	cg_info("has stood still for %d ms and begins to lead again", (int)ms);
+	cg_info("stood still for %d ms; begins to lead again", (int)ms);
 	cgw_fleet_begin_to_lead_again(f);
 }
 
--- a/src/gateway/fleet_internal.h
+++ b/src/gateway/fleet_internal.h
@@ -3,11 +3,10 @@
  * Declarations shared by the files of the fleet: fleet_members.c (liveness of
  * the daemons and choice of the leader), fleet_reads.c (when the configuration is
  * read), fleet_servers.c (use of the list of servers), fleet_era.c (return of the
- * store from an older copy),
- * fleet_heartbeat.c (heartbeats between the brokers of the domains),
- * fleet_evacuation.c (whether the own domain is evacuated), fleet_slots.c (slot
- * requests and decisions),
- * fleet_messages.c (datagrams) and fleet.c.
+ * store from an older copy), fleet_heartbeat.c (heartbeats between the brokers of
+ * the domains), fleet_evacuation.c (whether the own domain is evacuated),
+ * fleet_slots.c (slot requests and decisions), fleet_messages.c (datagrams) and
+ * fleet.c.
  */
 #ifndef CELERYGLADE_GATEWAY_FLEET_INTERNAL_H
 #define CELERYGLADE_GATEWAY_FLEET_INTERNAL_H
@@ -49,7 +48,7 @@
 /* A daemon that has just started waits this long for pongs before it chooses a
  * leader. */
 #define STARTUP_GRACE_MS 400
-/* A leader that has stood still for this long has been replaced. */
+/* A leader that has stood still for this long may have been replaced. */
 #define REPLACED_AFTER_MS LEADER_TIMEOUT_MS
 /* The requests and held slots of a follower that has been silent for this long
  * end. */
@@ -238,8 +237,8 @@
 /** Returns whether a daemon has sent a message since @p since; if not, pings it.
  * The heard_since function of the broker; @p arg is the fleet. */
 bool cgw_fleet_heard_since(void *arg, const char *daemon, cg_ms since);
-/** Records that a daemon follows this one. A leader that most of its domain comes
- * back to begins to lead again. */
+/** Records that a daemon follows this one. A leader that at most half of its domain
+ * followed until then begins to lead again. */
 void cgw_fleet_record_follower(struct cgw_fleet *f, struct cgw_member *m);
 /** Ends the requests and held slots of followers that have become silent. */
 void cgw_fleet_expire_followers(struct cgw_fleet *f);
@@ -351,8 +350,8 @@
 /** Starts or ends the work of a leader: only a daemon that leads polls the
  * store and ticks its broker. */
 void cgw_fleet_set_leading(struct cgw_fleet *f, bool leading);
-/** Makes a leader that may have been replaced meanwhile start as one that takes over.
- */
+/** Makes a leader start like one that takes over: another daemon may have led
+ * meanwhile. */
 void cgw_fleet_begin_to_lead_again(struct cgw_fleet *f);
 
 #endif
--- a/src/gateway/fleet_members.c
+++ b/src/gateway/fleet_members.c
@@ -560,8 +560,8 @@
 void cgw_fleet_record_follower(struct cgw_fleet *f, struct cgw_member *m)
 {
 	if (!follows_this(f, m) && may_have_been_replaced(f)) {
-		cg_info("%s follows this daemon again, which few have followed; "
-			"begins to lead again",
+		cg_info("%s follows this daemon, which at most half of its domain "
+			"followed; begins to lead again",
 			m->name);
 		cgw_fleet_begin_to_lead_again(f);
 	}
