Divide the rate by the daemons that follow each broker (QUOTA)

Cause: let daemons that are cut off use a quarter of what they carry, for the sake of the others in a domain that has really lost some.

Change: each broker uses what its followers carry. The sum stays 1 at most.

--- a/include/gateway/quota.h
+++ b/include/gateway/quota.h
@@ -38,13 +38,11 @@
 /**
  * Returns the share of the domain's rates that a broker may admit.
  *
- * If the daemons are cut off from each other, the shares of all their brokers add
- * up to 1 at most, however the members are divided between them. A broker that
- * all members follow may admit the whole rate. One that most follow leaves a
- * quarter of what the others carry to them; a smaller one may use that quarter of
- * what its own followers carry. Two brokers that half of the members follow each
- * may admit half of the rate. The bound applies while each broker counts all
- * daemons as members; one that has been silent for 30 s is no longer counted.
+ * Each member carries an equal part to the broker that it follows. If the daemons
+ * are cut off from each other, the shares of their brokers add up to 1 at most,
+ * however the members are divided between them. The bound applies while each
+ * broker counts all daemons as members; one that has been silent for 30 s is no
+ * longer counted.
  *
  * @param followers Daemons that follow the broker, itself included.
  * @param members   Daemons of the domain, the broker included.
--- a/src/gateway/quota.c
+++ b/src/gateway/quota.c
@@ -20,11 +20,6 @@
  * admitted, and the limit tolerates 10 % and 20 requests more per window: several
  * hand-overs in each domain must fit into that. */
 #define TAKEOVER_TOKENS_MILLI (1 * CG_RATE_REQUEST_COST)
-/* Brokers that less than half of their domain follow use this part of what their
- * followers carry of the rate, and leave the rest to the broker that most follow.
- * Small, since daemons fail more often than they are cut off from their broker but
- * not from their callers and servers. */
-#define MINORITY_PART 0.25
 /* Warm-up time of a broker that took over. A burst of one second's requests
  * refills within it. */
 #define WARM_UP_MS 2000
@@ -85,14 +80,7 @@
 
 double cgw_quota_broker_share(unsigned int followers, unsigned int members)
 {
-	double part;
-
-	if (followers >= members)
-		return 1;
-	part = (double)followers / members;
-	if (followers * 2 > members)
-		return 1 - MINORITY_PART * (1 - part);
-	return followers * 2 == members ? part : MINORITY_PART * part;
+	return followers >= members ? 1 : (double)followers / members;
 }
 
 static void decay_demand(struct account_rate *e, cg_ms now)
