Handle no event of a descriptor that is removed at a pause

Cause: the loop reported a pause after epoll_wait(), but before it had recorded how many events had arrived. cgw_loop_del() then did not drop the event of a connection that the leader closed when it began to lead again, and the loop called into memory that had been freed.

Change: the number of events is recorded first.

Test: descriptor_removed_at_a_pause_gets_no_event fails before.

--- a/src/gateway/loop.c
+++ b/src/gateway/loop.c
@@ -189,9 +189,11 @@
 	l->now = cg_clock_now(l->clk);
 	if (n < 0 && errno != EINTR)
 		return -1;
-	check_pause(l, last_step_at, wait);
 	l->batch_len = n < 0 ? 0 : n;
-	for (l->batch_pos = 0; l->batch_pos < l->batch_len;) {
+	l->batch_pos = 0;
+	/* May remove descriptors whose events are in the batch. */
+	check_pause(l, last_step_at, wait);
+	while (l->batch_pos < l->batch_len) {
 		struct epoll_event *e = &l->batch[l->batch_pos++];
 		struct cgw_io *io = e->data.ptr;
 
--- a/tests/test_gateway_loop.c
+++ b/tests/test_gateway_loop.c
@@ -149,12 +149,55 @@
 		close(fds[i / 2][i % 2]);
 }
 
+struct removal_at_pause {
+	struct cgw_pause_watch watch;
+	struct pair removed;
+};
+
+static void remove_at_pause(struct cgw_pause_watch *w, cg_ms ms)
+{
+	struct removal_at_pause *r =
+		caa_container_of(w, struct removal_at_pause, watch);
+
+	(void)ms;
+	cgw_loop_del(r->removed.loop, &r->removed.io);
+}
+
+/* A leader that had stood still cancelled its calls to the store; the event of a
+ * connection that was closed with them reached memory that had been freed. */
+static void descriptor_removed_at_a_pause_gets_no_event(void **state)
+{
+	struct removal_at_pause r = { .watch = { .min_ms = 750,
+						 .paused = remove_at_pause } };
+	struct cg_clock clk;
+	int fds[2];
+
+	(void)state;
+	cg_clock_init_manual(&clk, 1000);
+	r.removed.loop = cgw_loop_new(&clk);
+	assert_int_equal(pipe(fds), 0);
+	r.removed.other = &r.removed;
+	r.removed.io.fd = fds[0];
+	r.removed.io.ready = remove_other;
+	assert_int_equal(cgw_loop_add(r.removed.loop, &r.removed.io, EPOLLIN),
+			 0);
+	assert_int_equal(write(fds[1], "x", 1), 1);
+	cgw_loop_watch_pauses(r.removed.loop, &r.watch);
+	cg_clock_set(&clk, 3000);
+	cgw_loop_step(r.removed.loop, 0);
+	assert_int_equal(r.removed.calls, 0);
+	cgw_loop_free(r.removed.loop);
+	close(fds[0]);
+	close(fds[1]);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(timers_fire_in_order_of_expiry),
 		cmocka_unit_test(pause_is_noticed_once),
 		cmocka_unit_test(removed_descriptor_gets_no_event),
+		cmocka_unit_test(descriptor_removed_at_a_pause_gets_no_event),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
