Write the fleet's repeated conditions once

A connection's idle time is compared before the kernel is asked for unsent bytes.

test_system_takeover, test_system_quota, test_system_connections and test_system_memory pass; formatter and linter are clean.

--- a/include/gateway/fleet.h
+++ b/include/gateway/fleet.h
@@ -77,9 +77,10 @@
 /** Adds the daemons listed in the store and sets the fleet's secret. */
 void cgw_fleet_update_entries(struct cgw_fleet *f,
 			      const struct cgw_fleet_entry *e, size_t n);
-/** Must be called after the own broker's list of servers has been updated.
- * Submits the slot requests that waited for it. */
-void cgw_fleet_handle_server_list(struct cgw_fleet *f);
+/** Decides again whether the own broker may grant by its list of servers, and submits
+ * the slot requests that waited if it may. Must be called after the list has been
+ * updated. */
+void cgw_fleet_update_servers_usable(struct cgw_fleet *f);
 /** Makes this daemon report that it is leaving, so that the others stop
  * following it. */
 void cgw_fleet_leave(struct cgw_fleet *f);
--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -65,11 +65,6 @@
 	g_array_unref(pending);
 }
 
-void cgw_fleet_handle_server_list(struct cgw_fleet *f)
-{
-	cgw_fleet_update_servers_usable(f);
-}
-
 static void on_tick(struct cgw_timer *t)
 {
 	struct cgw_fleet *f = caa_container_of(t, struct cgw_fleet, tick_timer);
--- a/src/gateway/fleet_internal.h
+++ b/src/gateway/fleet_internal.h
@@ -265,9 +265,6 @@
 /** Fetches the list of servers from another daemon if this one is among those
  * that lead next, or if it leads and cannot read the store. */
 void cgw_fleet_check_servers(struct cgw_fleet *f);
-/** Decides again whether the own broker may grant by the list of servers, and
- * submits the slot requests that waited if it may. */
-void cgw_fleet_update_servers_usable(struct cgw_fleet *f);
 /** Returns whether the list of servers is recent enough to serve requests of
  * other domains. */
 bool cgw_fleet_servers_are_recent(struct cgw_fleet *f);
--- a/src/gateway/fleet_members.c
+++ b/src/gateway/fleet_members.c
@@ -227,17 +227,20 @@
 	return chosen;
 }
 
+static bool follows_this(struct cgw_fleet *f, const struct cgw_member *m)
+{
+	return cgw_loop_now(f->loop) - m->last_follow_at < FOLLOWER_TIMEOUT_MS;
+}
+
 unsigned int cgw_fleet_follower_count(struct cgw_fleet *f)
 {
-	cg_ms now = cgw_loop_now(f->loop);
 	unsigned int n = 0;
 	GHashTableIter it;
 	gpointer value;
 
 	g_hash_table_iter_init(&it, f->members);
 	while (g_hash_table_iter_next(&it, NULL, &value))
-		n += now - ((struct cgw_member *)value)->last_follow_at <
-		     FOLLOWER_TIMEOUT_MS;
+		n += follows_this(f, value);
 	return n;
 }
 
@@ -435,7 +438,6 @@
 
 bool cgw_fleet_is_followed(struct cgw_fleet *f)
 {
-	cg_ms now = cgw_loop_now(f->loop);
 	GHashTableIter it;
 	gpointer value;
 
@@ -443,8 +445,7 @@
 		return true;
 	g_hash_table_iter_init(&it, f->members);
 	while (g_hash_table_iter_next(&it, NULL, &value))
-		if (now - ((struct cgw_member *)value)->last_follow_at <
-		    FOLLOWER_TIMEOUT_MS)
+		if (follows_this(f, value))
 			return true;
 	return false;
 }
@@ -518,11 +519,6 @@
 	       m->eligibility != CGW_ELIGIBILITY_LEAVING;
 }
 
-static bool follows_this(struct cgw_fleet *f, const struct cgw_member *m)
-{
-	return cgw_loop_now(f->loop) - m->last_follow_at < FOLLOWER_TIMEOUT_MS;
-}
-
 /* Counts the daemons of the own domain that follow this one, and all that count as
  * its members; both include this one. */
 static void count_domain(struct cgw_fleet *f, unsigned int *followers,
@@ -603,7 +599,6 @@
 
 void cgw_fleet_expire_followers(struct cgw_fleet *f)
 {
-	cg_ms now = cgw_loop_now(f->loop);
 	GHashTableIter it;
 	gpointer value;
 
@@ -611,7 +606,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct cgw_member *m = value;
 
-		if (now - m->last_follow_at >= FOLLOWER_TIMEOUT_MS)
+		if (!follows_this(f, m))
 			end_following(f, m);
 	}
 }
--- a/src/gateway/fleet_servers.c
+++ b/src/gateway/fleet_servers.c
@@ -34,9 +34,16 @@
 	       cgw_loop_now(f->loop) - read_at < SERVERS_MAX_AGE_MS;
 }
 
+static bool was_read_while_leading(struct cgw_fleet *f)
+{
+	cg_ms read_at = cgw_feed_servers_read_at(*f->feed);
+
+	return read_at >= 0 && read_at >= f->leading_since;
+}
+
 static bool may_use_list(struct cgw_fleet *f)
 {
-	if (cgw_feed_servers_read_at(*f->feed) >= f->leading_since)
+	if (was_read_while_leading(f))
 		return true;
 	return cgw_feed_is_unreachable(*f->feed) &&
 	       (is_list_recent(f) || domain_cannot_read_store(f));
@@ -93,7 +100,7 @@
 		cgw_handoff_fetch_servers(f->handoff, leader->ip);
 		return;
 	}
-	if (!f->leading || (read_at >= 0 && read_at >= f->leading_since) ||
+	if (!f->leading || was_read_while_leading(f) ||
 	    cgw_feed_is_healthy(*f->feed))
 		return;
 	f->servers_fetched_at = now;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -102,7 +102,7 @@
 
 	cgw_broker_set_servers(cgw_fleet_broker(g->fleet), s, n,
 			       cgw_loop_now(g->loop));
-	cgw_fleet_handle_server_list(g->fleet);
+	cgw_fleet_update_servers_usable(g->fleet);
 }
 
 static void on_fleet(void *arg, const struct cgw_fleet_entry *e, size_t n)
--- a/src/gateway/ingress_timeouts.c
+++ b/src/gateway/ingress_timeouts.c
@@ -58,8 +58,8 @@
  * the gateway has sent: a close would cut it. */
 static bool is_receiving(const struct connection *c)
 {
-	return cgw_linger_has_unsent(c->io.fd) &&
-	       idle_time(c) < cgw_ingress_idle_timeout(c->ingress);
+	return idle_time(c) < cgw_ingress_idle_timeout(c->ingress) &&
+	       cgw_linger_has_unsent(c->io.fd);
 }
 
 bool cgw_ingress_close_longest_idle(struct cgw_ingress *in,
