Open slow callers' connections in one place

test_system_connections and test_system_memory each opened connections with a small receive buffer; gf_connect_slow() serves both.

--- a/tests/support/gateway_fleet.c
+++ b/tests/support/gateway_fleet.c
@@ -348,16 +348,32 @@
 	return n;
 }
 
-static int send_raw(unsigned int daemon, unsigned int port, const char *text)
+/* @receive_buffer is in bytes; 0: the system's choice. */
+static int connect_to(unsigned int daemon, unsigned int port,
+		      int receive_buffer)
 {
 	struct sockaddr_in a = { .sin_family = AF_INET,
 				 .sin_port = htons((uint16_t)port) };
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	char ip[32];
 
+	/* Set later, it would be smaller than a segment that the sender may
+	 * send, which the kernel then drops each time. */
+	if (receive_buffer)
+		assert_int_equal(setsockopt(fd, SOL_SOCKET, SO_RCVBUF,
+					    &receive_buffer,
+					    sizeof(receive_buffer)),
+				 0);
 	daemon_ip(daemon, ip);
 	inet_pton(AF_INET, ip, &a.sin_addr);
 	assert_int_equal(connect(fd, (struct sockaddr *)&a, sizeof(a)), 0);
+	return fd;
+}
+
+static int send_raw(unsigned int daemon, unsigned int port, const char *text)
+{
+	int fd = connect_to(daemon, port, 0);
+
 	assert_int_equal(send(fd, text, strlen(text), MSG_NOSIGNAL),
 			 (ssize_t)strlen(text));
 	return fd;
@@ -379,6 +395,12 @@
 	return send_raw(daemon, f->ports + 2, text);
 }
 
+int gf_connect_slow(struct gateway_fleet *f, unsigned int daemon,
+		    int receive_buffer)
+{
+	return connect_to(daemon, f->ports, receive_buffer);
+}
+
 int gf_send_raw(struct gateway_fleet *f, unsigned int daemon, const char *text)
 {
 	return send_raw(daemon, f->ports, text);
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -101,6 +101,10 @@
 /** Returns the IP address of a daemon's listener for callers; its port is
  * the first of @c ports. The caller frees it. */
 char *gf_daemon_ip(unsigned int daemon);
+/** Opens a connection to a daemon whose system takes up little of what is not read:
+ * about @p receive_buffer bytes. Returns the socket, which the caller closes. */
+int gf_connect_slow(struct gateway_fleet *f, unsigned int daemon,
+		    int receive_buffer);
 /** Opens a connection to a daemon and sends @p text. Returns the socket, which
  * the caller closes. */
 int gf_send_raw(struct gateway_fleet *f, unsigned int daemon, const char *text);
--- a/tests/test_system_connections.c
+++ b/tests/test_system_connections.c
@@ -1,6 +1,5 @@
 /* Tests that callers who use one connection for several requests get what a
  * caller with one connection a request gets. */
-#include <arpa/inet.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -131,25 +130,6 @@
 	return text;
 }
 
-static int open_slow_caller(struct gateway_fleet *f)
-{
-	struct sockaddr_in a = { .sin_family = AF_INET,
-				 .sin_port = htons(f->ports) };
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	int window = WINDOW;
-	char *ip = gf_daemon_ip(0);
-
-	/* Set later, it would be smaller than a segment that the sender may
-	 * send, which the kernel then drops each time. */
-	assert_int_equal(
-		setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &window, sizeof(window)),
-		0);
-	inet_pton(AF_INET, ip, &a.sin_addr);
-	assert_int_equal(connect(fd, (struct sockaddr *)&a, sizeof(a)), 0);
-	g_free(ip);
-	return fd;
-}
-
 /* Reads until a body of LONG_BODY bytes is there, slowly. Returns all that follows
  * the first head, which the caller frees. */
 static GString *read_slowly(int fd)
@@ -186,6 +166,16 @@
 	return s;
 }
 
+static void send_requests(const int *fds, char part)
+{
+	for (unsigned int i = 0; i < CALLERS; i++) {
+		char *text = format_request("GET", "/safe/x", i, part);
+
+		send_text(fds[i], text);
+		g_free(text);
+	}
+}
+
 static void assert_exits(struct gateway_fleet *f)
 {
 	int status = -1;
@@ -202,23 +192,16 @@
 {
 	struct gateway_fleet f;
 	int fds[CALLERS];
-	char *text, *answer;
+	char *answer;
 
 	(void)state;
 	gf_start_serving(&f, 2, 400);
 	answer = send_long_bodies(&f, LONG_BODY);
-	for (unsigned int i = 0; i < CALLERS; i++) {
-		fds[i] = open_slow_caller(&f);
-		text = format_request("GET", "/safe/x", i, 'a');
-		send_text(fds[i], text);
-		g_free(text);
-	}
+	for (unsigned int i = 0; i < CALLERS; i++)
+		fds[i] = gf_connect_slow(&f, 0, WINDOW);
+	send_requests(fds, 'a');
 	g_usleep(100000);
-	for (unsigned int i = 0; i < CALLERS; i++) {
-		text = format_request("GET", "/safe/x", i, 'b');
-		send_text(fds[i], text);
-		g_free(text);
-	}
+	send_requests(fds, 'b');
 	kill(f.pids[0], SIGTERM);
 	for (unsigned int i = 0; i < CALLERS; i++) {
 		GString *got = read_slowly(fds[i]);
@@ -245,7 +228,7 @@
 	(void)state;
 	gf_start_serving(&f, 2, 0);
 	answer = send_long_bodies(&f, LONG_BODY);
-	fd = open_slow_caller(&f);
+	fd = gf_connect_slow(&f, 0, WINDOW);
 	text = format_request("GET", "/safe/x", 0, 'a');
 	send_text(fd, text);
 	g_free(text);
@@ -268,16 +251,6 @@
 	g_free(answer);
 }
 
-static void send_requests(const int *fds, char part)
-{
-	for (unsigned int i = 0; i < CALLERS; i++) {
-		char *text = format_request("GET", "/safe/x", i, part);
-
-		send_text(fds[i], text);
-		g_free(text);
-	}
-}
-
 /* A gateway that ran short of connections closed those whose callers were still
  * reading their responses. A further request then reset them. */
 static void
@@ -296,7 +269,7 @@
 	gf_wait_ready(&f);
 	answer = send_long_bodies(&f, LONG_BODY);
 	for (unsigned int i = 0; i < CALLERS; i++)
-		fds[i] = open_slow_caller(&f);
+		fds[i] = gf_connect_slow(&f, 0, WINDOW);
 	send_requests(fds, 'a');
 	g_usleep(IN_SOCKET_MS * 1000);
 	for (int i = 0; i < CROWD; i++)
--- a/tests/test_system_memory.c
+++ b/tests/test_system_memory.c
@@ -8,7 +8,6 @@
 #include <stdint.h>
 /* cmocka needs the headers above it. */
 #include <cmocka.h>
-#include <arpa/inet.h>
 #include <errno.h>
 #include <signal.h>
 #include <stdio.h>
@@ -223,18 +222,9 @@
  * large response. */
 static int request_large(struct gateway_fleet *f)
 {
-	struct sockaddr_in a = { .sin_family = AF_INET,
-				 .sin_port = htons(f->ports) };
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-	int size = SMALL_BUFFER;
+	int fd = gf_connect_slow(f, 0, SMALL_BUFFER);
 	char *head = head_of("/large/x", "k1", 0);
-	char *ip = gf_daemon_ip(0);
 
-	/* Later the window has been announced. */
-	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
-	inet_pton(AF_INET, ip, &a.sin_addr);
-	assert_int_equal(connect(fd, (struct sockaddr *)&a, sizeof(a)), 0);
-	g_free(ip);
 	assert_int_equal(send(fd, head, strlen(head), MSG_NOSIGNAL),
 			 strlen(head));
 	g_free(head);
