Log when, from whom and how fast a configuration came (CONFIG)

The logs did not tell apart a configuration that was read late, one that was handed on slowly and one that was parsed slowly.

The line of a version in force names how long it took to receive and to parse, and for how long the daemon had known of a newer version. A fetch that failed names its duration. test_gateway_feed and test_gateway_loop pass.

--- a/include/gateway/loop.h
+++ b/include/gateway/loop.h
@@ -47,6 +47,8 @@
 /** Returns the time of the current batch of events in ms. It is updated only
  * before and after each wait. */
 cg_ms cgw_loop_now(struct cgw_loop *l);
+/** Reads the clock of the loop, to measure what is done within one batch. */
+cg_ms cgw_loop_read_clock(const struct cgw_loop *l);
 
 /** Adds a descriptor, or changes its events. Returns 0, or -1 with errno. */
 int cgw_loop_add(struct cgw_loop *l, struct cgw_io *io, uint32_t events);
--- a/src/gateway/feed.c
+++ b/src/gateway/feed.c
@@ -100,12 +100,30 @@
 			   cgw_feed_reader_names[r->kind], reason);
 }
 
+/* Logs a version that has just been put into force. @sent_at is the start of the
+ * call that brought it, @received_at its end. */
+static void log_in_force(struct cgw_feed *f, size_t len, const char *source,
+			 cg_ms sent_at, cg_ms received_at)
+{
+	cg_ms now = cgw_loop_read_clock(f->loop);
+
+	cg_info("configuration version %" G_GUINT64_FORMAT " from %s is in "
+		"force: %u routes, %u bytes, received in %d ms, parsed in %d "
+		"ms, %d ms after a newer version than the former was known",
+		cgw_table_version(f->table), source,
+		(unsigned int)cgw_table_route_count(f->table),
+		(unsigned int)len, (int)(received_at - sent_at),
+		(int)(now - received_at),
+		f->behind_since ? (int)(now - f->behind_since) : 0);
+}
+
 /* Parses a configuration and puts it into force if its version is newer than
  * the one in force. Otherwise, or if it is invalid, the table in force is kept.
  * Returns the version, or 0 if it is invalid. */
 static uint64_t put_into_force(struct cgw_feed *f, const void *text, size_t len,
-			       const char *source)
+			       const char *source, cg_ms sent_at)
 {
+	cg_ms received_at = cgw_loop_read_clock(f->loop);
 	uint64_t current = f->table ? cgw_table_version(f->table) : 0;
 	char *reason = NULL;
 	struct cgw_table *t = f->format->read_config(text, len, &reason);
@@ -129,15 +147,14 @@
 		cgw_table_unref(t);
 		return version;
 	}
-	cg_info("configuration version %" G_GUINT64_FORMAT " from %s is in "
-		"force: %u routes, %u bytes",
-		version, source, (unsigned int)cgw_table_route_count(t),
-		(unsigned int)len);
 	f->table = t;
 	if (f->config_text)
 		g_bytes_unref(f->config_text);
 	f->config_text = g_bytes_new(text, len);
 	cgw_table_unref(old);
+	log_in_force(f, len, source, sent_at, received_at);
+	if (version >= f->known_version)
+		f->behind_since = 0;
 	f->events.table(f->events.arg, f->table);
 	return version;
 }
@@ -147,8 +164,9 @@
 void cgw_feed_apply_config(struct reader *r)
 {
 	struct cgw_feed *f = r->feed;
-	uint64_t version = put_into_force(f, r->call.body->data,
-					  r->call.body->len, "the store");
+	uint64_t version =
+		put_into_force(f, r->call.body->data, r->call.body->len,
+			       "the store", r->sent_at);
 
 	if (version && version == cgw_table_version(f->table) &&
 	    cgw_feed_may_prove(f, version, r->sent_at))
@@ -160,9 +178,9 @@
 }
 
 uint64_t cgw_feed_take_config(struct cgw_feed *f, const void *text, size_t len,
-			      const char *source)
+			      const char *source, cg_ms sent_at)
 {
-	return put_into_force(f, text, len, source);
+	return put_into_force(f, text, len, source, sent_at);
 }
 
 GBytes *cgw_feed_config_text(struct cgw_feed *f)
--- a/src/gateway/feed_era.c
+++ b/src/gateway/feed_era.c
@@ -131,9 +131,12 @@
 {
 	uint64_t known = cgw_feed_known_version(f);
 	cg_ms now = cgw_loop_now(f->loop);
+	uint64_t own = f->table ? cgw_table_version(f->table) : 0;
 
 	if (!version || version < known)
 		return;
+	if (version > own && !f->behind_since)
+		f->behind_since = now;
 	if (version > known)
 		f->known_since = now;
 	f->known_version = version;
--- a/src/gateway/feed_internal.h
+++ b/src/gateway/feed_internal.h
@@ -111,6 +111,8 @@
 	uint64_t known_version; /* highest that another daemon has or had */
 	cg_ms known_since;
 	cg_ms known_at; /* when one has last said so */
+	cg_ms behind_since; /* a newer version than that in force is known; 0 if
+			     * none is */
 	cg_ms older_read_at; /* start of the last read that found an older
 			      * version than that */
 	char secret[65]; /* of the fleet, as in use; "" until known */
--- a/src/gateway/handoff.c
+++ b/src/gateway/handoff.c
@@ -313,8 +313,9 @@
 {
 	struct cgw_handoff *h = f->handoff;
 	struct cgw_feed *feed = h->gateway->feed;
-	uint64_t version = cgw_feed_take_config(
-		feed, f->call.body->data, f->call.body->len, f->call.address);
+	uint64_t version = cgw_feed_take_config(feed, f->call.body->data,
+						f->call.body->len,
+						f->call.address, f->sent_at);
 
 	if (!version)
 		return;
@@ -364,9 +365,10 @@
 			return;
 		}
 		cg_info("cannot fetch %s from %s: call outcome %d, HTTP status "
-			"%d",
+			"%d after %d ms",
 			targets[f->resource], c->address, (int)c->outcome,
-			c->status);
+			c->status,
+			(int)(cgw_loop_now(h->gateway->loop) - f->sent_at));
 		h->failures += f->resource == RESOURCE_CONFIG;
 	} else if (f->resource == RESOURCE_CONFIG) {
 		h->failures++;
--- a/src/gateway/loop.c
+++ b/src/gateway/loop.c
@@ -48,6 +48,11 @@
 	return l->now;
 }
 
+cg_ms cgw_loop_read_clock(const struct cgw_loop *l)
+{
+	return cg_clock_now(l->clk);
+}
+
 int cgw_loop_add(struct cgw_loop *l, struct cgw_io *io, uint32_t events)
 {
 	struct epoll_event e = { .events = events, .data.ptr = io };
