Show with a test that fails what breaks CONFIG at narrow links

Callers get 404 on a route that was added 3 s ago, or what an older configuration says.

test_system_handoff starts 40 fetches of a configuration of 1,400 routes from a daemon whose link has 10 Mbit/s. All 40 are accepted, 10,706,240 bytes, where 1,250,000 pass the link before the fetchers give up: none of them gets it.

--- /dev/null
+++ b/tests/test_system_handoff.c
@@ -0,0 +1,157 @@
+/* Tests how whole gateway processes hand a configuration on. Guards against a
+ * configuration that is in force late because all daemons of a failure domain
+ * fetch it from one narrow link at the same time, so that none gets it. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+/* cmocka needs the headers above it. */
+#include <cmocka.h>
+#include <json-c/json.h>
+#include <poll.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "support/gateway_fleet.h"
+
+#define LINK_MBPS	 10
+#define SETTINGS	 "\"link_mbps\": 10,"
+#define BYTES_PER_MS	 (LINK_MBPS * 1000 / 8)
+#define ROUTES		 1400
+#define FETCHERS	 40
+#define FETCH_TIMEOUT_MS 1000 /* of a daemon's fetch */
+#define ANSWER_MS	 500
+#define NONCE		 "0123456789abcdef0123456789abcdef"
+
+/* Returns further rules for gf_put_config(); the caller frees them. */
+static char *many_routes(void)
+{
+	GString *s = g_string_new(NULL);
+
+	for (int i = 0; i < ROUTES; i++)
+		g_string_append_printf(
+			s,
+			",{\"name\":\"r%d\",\"kind\":\"safe\",\"slo_ms\":1000,"
+			"\"priority\":1,\"public\":true,\"match\":"
+			"{\"path_prefix\":\"/r%d/\"},\"action\":{\"service\":"
+			"\"svc\",\"timeout_ms\":2000,\"attempts\":2}}",
+			i, i);
+	return g_string_free(s, FALSE);
+}
+
+static char *fleet_secret(struct gateway_fleet *f)
+{
+	char *spec = objects_get(f->store, "celeryglade-fleet", "secret");
+	struct json_object *o = json_tokener_parse(spec), *v;
+	char *secret;
+
+	assert_true(json_object_object_get_ex(o, "secret", &v));
+	secret = g_strdup(json_object_get_string(v));
+	json_object_put(o);
+	g_free(spec);
+	return secret;
+}
+
+/* Returns a signed request for the configuration; the caller frees it. */
+static char *fetch_request(struct gateway_fleet *f)
+{
+	static const char signed_text[] = "request /config " NONCE " \n";
+	char *secret = fleet_secret(f);
+	char *mac = g_compute_hmac_for_string(G_CHECKSUM_SHA256,
+					      (const guchar *)secret,
+					      strlen(secret), signed_text, -1);
+	char *text = g_strdup_printf("GET /config HTTP/1.1\r\nHost: x\r\n"
+				     "X-Celeryglade-Nonce: " NONCE "\r\n"
+				     "X-Celeryglade-Mac: %s\r\n\r\n",
+				     mac);
+
+	g_free(mac);
+	g_free(secret);
+	return text;
+}
+
+struct answer {
+	int status; /* 0: none in time */
+	size_t bytes; /* of the body, as its head states */
+};
+
+/* Reads the head of a response. */
+static struct answer read_head(int fd)
+{
+	static const char length[] = "Content-Length: ";
+	struct pollfd p = { .fd = fd, .events = POLLIN };
+	struct answer a = { 0 };
+	char text[2048];
+	const char *at;
+	ssize_t n;
+
+	if (poll(&p, 1, ANSWER_MS) <= 0)
+		return a;
+	n = recv(fd, text, sizeof(text) - 1, MSG_PEEK);
+	if (n <= 0)
+		return a;
+	text[n] = '\0';
+	if (!g_str_has_prefix(text, "HTTP/1.1 "))
+		return a;
+	a.status = atoi(text + strlen("HTTP/1.1 "));
+	at = strstr(text, length);
+	a.bytes = at ? strtoul(at + strlen(length), NULL, 10) : 0;
+	return a;
+}
+
+static void start_with_many_routes(struct gateway_fleet *f,
+				   unsigned int daemons)
+{
+	char *routes = many_routes();
+
+	gf_prepare(f, daemons);
+	f->settings = SETTINGS;
+	gf_start_daemons(f);
+	gf_put_config(f, true, 0, 0, routes);
+	gf_wait_ready(f);
+	g_free(routes);
+}
+
+/* Each fetch that a daemon accepts must pass its link before the fetcher gives up;
+ * the others must be refused at once, so that they can go elsewhere. */
+static void accepted_config_fetches_fit_the_link(void **state)
+{
+	struct gateway_fleet f;
+	struct answer answers[FETCHERS];
+	unsigned int accepted = 0, refused = 0;
+	int fds[FETCHERS];
+	size_t bytes = 0;
+	char *request;
+
+	(void)state;
+	start_with_many_routes(&f, 2);
+	request = fetch_request(&f);
+	for (unsigned int i = 0; i < FETCHERS; i++)
+		fds[i] = gf_send_raw_peer(&f, 0, request);
+	for (unsigned int i = 0; i < FETCHERS; i++) {
+		answers[i] = read_head(fds[i]);
+		accepted += answers[i].status == 200;
+		refused += answers[i].status == 503;
+		bytes += answers[i].status == 200 ? answers[i].bytes : 0;
+	}
+	for (unsigned int i = 0; i < FETCHERS; i++)
+		close(fds[i]);
+	print_message("%u fetches accepted with %zu bytes, %u refused\n",
+		      accepted, bytes, refused);
+	assert_int_equal(accepted + refused, FETCHERS);
+	assert_in_range(accepted, 1, FETCHERS - 1);
+	assert_in_range(bytes, 1, FETCH_TIMEOUT_MS * BYTES_PER_MS);
+	g_free(request);
+	gf_stop(&f);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(accepted_config_fetches_fit_the_link),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
