--- a/include/celeryglade/counters.h
+++ b/include/celeryglade/counters.h
@@ -38,6 +38,7 @@
 	X(CONFIG_LOWER_IGNORED, "config_lower_version_ignored")                \
 	X(CONFIG_FROM_PEER, "config_parts_from_peer")                          \
 	X(CONFIG_FROM_STORE, "config_parts_from_store")                        \
+	X(CONFIG_FETCHES_REFUSED, "config_fetches_refused")                    \
 	X(RATE_ASKS, "rate_asks")                                              \
 	X(RATE_GRANTS, "rate_grants")                                          \
 	X(RATE_RECLAIMS, "rate_reclaims")                                      \
--- a/include/gateway/fleet.h
+++ b/include/gateway/fleet.h
@@ -62,6 +62,10 @@
 /** Sets what fetches the configuration from other daemons; not owned. */
 void cgw_fleet_set_handoff(struct cgw_fleet *f, struct cgw_handoff *h);
 
+/** Pings the leader, if it is another daemon: its pong names a daemon that hands on
+ * a newer configuration, and the ping names the version of this one. */
+void cgw_fleet_ping_leader(struct cgw_fleet *f);
+
 /** Sets what tells whether the own domain is evacuated; not owned. */
 void cgw_fleet_set_evacuations(struct cgw_fleet *f, struct cgw_evacuations *e);
 /** Must be called after a read of the evacuation has ended. */
--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -185,6 +185,14 @@
 	f->handoff = h;
 }
 
+void cgw_fleet_ping_leader(struct cgw_fleet *f)
+{
+	struct cgw_member *leader = cgw_fleet_member(f, f->leader);
+
+	if (leader)
+		cgw_fleet_send_ping(f, leader);
+}
+
 void cgw_fleet_leave(struct cgw_fleet *f)
 {
 	f->leaving = true;
--- a/src/gateway/handoff.c
+++ b/src/gateway/handoff.c
@@ -7,8 +7,10 @@
 #include <rpc/types.h>
 #include <rpc/xdr.h>
 
+#include "celeryglade/counters.h"
 #include "fleet_wire.h"
 #include "gateway/gateway.h"
+#include "gateway/link_budget.h"
 #include "http_server.h"
 #include "internal/http_text.h"
 #include "internal/logging.h"
@@ -24,7 +26,17 @@
  * second. */
 #define CONNECT_MS 200
 #define FETCH_MS   1000
-#define NONCE_SIZE 33
+/* Share of this machine's link for configurations that it hands on. The rest is
+ * for callers, servers and the store. */
+#define LINK_SHARE 0.5
+/* A fetch that is accepted is sent in this time. Others are refused at once, and
+ * find a daemon that has the configuration by then. */
+#define SEND_MS 250
+/* A fetch that was refused is repeated after this time and a random part of the
+ * spread, from the daemon that the leader then names. */
+#define REFUSED_RETRY_MS	50
+#define REFUSED_RETRY_SPREAD_MS 100
+#define NONCE_SIZE		33
 /* Size of the fields that were added to the end of the list of servers. */
 #define TRAILING_FIELDS_MAX 16
 
@@ -55,6 +67,8 @@
 	struct cgw_http_server server;
 	struct fetch fetches[RESOURCE_COUNT];
 	unsigned int failures; /* of the configuration, in a row */
+	struct cgw_link_budget link;
+	struct cgw_timer retry_timer; /* after a fetch that was refused */
 };
 
 /* Computes the code of a request, or of a response if @body is not NULL. The
@@ -203,6 +217,14 @@
 		return rc;
 	}
 	len = b->len;
+	if (r == RESOURCE_CONFIG &&
+	    !cgw_link_budget_take(&h->link, len, SEND_MS,
+				  cgw_loop_now(h->gateway->loop))) {
+		g_byte_array_unref(b);
+		cg_count(CG_COUNTER_CONFIG_FETCHES_REFUSED);
+		return cg_http_respond_text(mhd, MHD_HTTP_SERVICE_UNAVAILABLE,
+					    "the link is busy");
+	}
 	m = MHD_create_response_from_buffer_with_free_callback(
 		len, g_byte_array_free(b, FALSE), g_free);
 	MHD_add_response_header(m, HEADER_MAC, mac);
@@ -320,6 +342,8 @@
 	if (!version)
 		return;
 	h->failures = 0;
+	/* The leader names this daemon to others from now on. */
+	cgw_fleet_ping_leader(h->gateway->fleet);
 	if (version == f->version && f->proved_at >= 0)
 		cgw_feed_record_proof(feed, version, f->proved_at);
 }
@@ -349,13 +373,35 @@
 	       !strcmp(mac, expected);
 }
 
+/* The leader's pong names the daemon to ask next. */
+static void on_retry(struct cgw_timer *t)
+{
+	struct cgw_handoff *h =
+		caa_container_of(t, struct cgw_handoff, retry_timer);
+
+	cgw_fleet_ping_leader(h->gateway->fleet);
+}
+
+static void retry_refused(struct cgw_handoff *h)
+{
+	cg_ms delay = REFUSED_RETRY_MS +
+		      g_random_int_range(0, REFUSED_RETRY_SPREAD_MS);
+
+	cgw_timer_arm(h->gateway->loop, &h->retry_timer,
+		      cgw_loop_now(h->gateway->loop) + delay);
+}
+
 static void on_fetched(struct cgw_call *c)
 {
 	struct fetch *f = caa_container_of(c, struct fetch, call);
 	struct cgw_handoff *h = f->handoff;
 	const char *age;
 
-	if (!is_authentic(f, &age)) {
+	if (f->resource == RESOURCE_CONFIG &&
+	    c->outcome == CGW_CALL_RESPONDED &&
+	    c->status == MHD_HTTP_SERVICE_UNAVAILABLE) {
+		retry_refused(h);
+	} else if (!is_authentic(f, &age)) {
 		/* A broker that has learnt nothing, or of an older version, has
 		 * no estimates. */
 		if (f->resource == RESOURCE_WORK &&
@@ -460,6 +506,8 @@
 	struct sockaddr_in sa = { .sin_family = AF_INET };
 
 	h->gateway = g;
+	h->retry_timer.fire = on_retry;
+	cgw_link_budget_init(&h->link, g->settings.link_mbps, LINK_SHARE);
 	for (int r = 0; r < RESOURCE_COUNT; r++) {
 		h->fetches[r].handoff = h;
 		h->fetches[r].resource = (enum resource)r;
@@ -479,6 +527,7 @@
 {
 	if (!h)
 		return;
+	cgw_timer_cancel(h->gateway->loop, &h->retry_timer);
 	for (int r = 0; r < RESOURCE_COUNT; r++) {
 		cgw_call_cancel(&h->fetches[r].call);
 		cgw_call_clear(&h->fetches[r].call);
