Refuse a fetch of the configuration before signing the response

A refused fetch cost the same processor time as an accepted one: the body was signed before the link was checked. The check comes first now. test_system_handoff passes.

--- a/src/gateway/handoff.c
+++ b/src/gateway/handoff.c
@@ -229,6 +229,14 @@
 	enum MHD_Result rc;
 	gsize len;
 
+	if (b && r == RESOURCE_CONFIG &&
+	    !cgw_link_budget_take(&h->link, b->len, SEND_MS,
+				  cgw_loop_now(h->gateway->loop))) {
+		g_byte_array_unref(b);
+		cg_count(CG_COUNTER_CONFIG_FETCHES_REFUSED);
+		return cg_http_respond_text(mhd, MHD_HTTP_SERVICE_UNAVAILABLE,
+					    "the link is busy");
+	}
 	g_snprintf(age_text, sizeof(age_text), "%d", (int)MIN(age, G_MAXINT));
 	if (!b ||
 	    compute_mac(h, targets[r], nonce, age_text, b->data, b->len, mac)) {
@@ -241,14 +249,6 @@
 		return rc;
 	}
 	len = b->len;
-	if (r == RESOURCE_CONFIG &&
-	    !cgw_link_budget_take(&h->link, len, SEND_MS,
-				  cgw_loop_now(h->gateway->loop))) {
-		g_byte_array_unref(b);
-		cg_count(CG_COUNTER_CONFIG_FETCHES_REFUSED);
-		return cg_http_respond_text(mhd, MHD_HTTP_SERVICE_UNAVAILABLE,
-					    "the link is busy");
-	}
 	m = MHD_create_response_from_buffer_with_free_callback(
 		len, g_byte_array_free(b, FALSE), g_free);
 	MHD_add_response_header(m, HEADER_MAC, mac);
