Let callers repeat what a newer configuration may allow (CONFIG)

What callers saw: 404 on a route, or 401 for a key, that a configuration which was acknowledged before contains. Callers do not repeat a request after either.

Cause: a daemon gave these final answers by the configuration that it had, also while it knew that another daemon had a newer one.

Change: such a daemon refuses unknown routes and keys with 503 config_behind and Retry-After 0.5. Routes and keys that it knows are served as before: most requests are for what no change concerns. What it costs: requests for routes that never existed get 503 for as long as the daemon is behind, at most two seconds after another daemon has last said so.

Evidence: unknown_route_may_be_repeated_at_a_daemon_that_is_behind gets 404 on the code before.

--- a/include/celeryglade/outcome.h
+++ b/include/celeryglade/outcome.h
@@ -43,7 +43,8 @@
 	X(CLAIM_MISMATCH, "claim_mismatch", 422, true)                         \
 	X(NO_CONFIG, "no_config", 503, true)                                   \
 	X(MEMORY_FULL, "memory_full", 503, true)                               \
-	X(STOPPING, "stopping", 503, true)
+	X(STOPPING, "stopping", 503, true)                                     \
+	X(CONFIG_BEHIND, "config_behind", 503, true)
 
 /** Reason of a refusal; CG_OK if there was none. */
 enum cg_reason {
--- a/include/gateway/feed.h
+++ b/include/gateway/feed.h
@@ -88,6 +88,8 @@
 /** Returns the highest version that another daemon has reported in the last two
  * seconds; 0 for none. */
 uint64_t cgw_feed_known_version(const struct cgw_feed *f);
+/** Returns whether another daemon has a newer configuration than this one. */
+bool cgw_feed_newer_is_known(const struct cgw_feed *f);
 /** Returns whether another daemon has a newer configuration than this one, which
  * the store, read since, does not have. */
 bool cgw_feed_is_behind(const struct cgw_feed *f);
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -25,6 +25,8 @@
  * its caller to the gateway. */
 #define PROOF_AGE_SHARE	     0.9
 #define PROOF_RETRY_AFTER_MS 1000
+/* By then a newer configuration, which another daemon has, is usually in force. */
+#define BEHIND_RETRY_AFTER_MS 500
 /* Attempts of a request whose connection may fail before anything is sent. Not
  * enforced at present. */
 #define CONNECT_FAILURES_MAX 3
@@ -544,6 +546,19 @@
 	return FILTER_STOP;
 }
 
+/* Refuses what the configuration in force does not allow. Callers do not repeat a
+ * request after 401 or 404, so neither is the answer if a newer configuration,
+ * which this daemon does not have yet, may allow it. */
+static enum filter_result refuse_unknown(struct cgw_exchange *x,
+					 enum cg_reason reason)
+{
+	if (cgw_feed_newer_is_known(x->gateway->feed))
+		refuse(x, CG_REASON_CONFIG_BEHIND, BEHIND_RETRY_AFTER_MS);
+	else
+		refuse(x, reason, 0);
+	return FILTER_STOP;
+}
+
 static enum filter_result filter_route(struct cgw_exchange *x)
 {
 	struct cgw_gateway *g = x->gateway;
@@ -561,10 +576,8 @@
 	path = g_strndup(x->target, strcspn(x->target, "?#"));
 	x->route = cgw_table_find_route(t, x->host ? x->host : "", path);
 	g_free(path);
-	if (!x->route) {
-		refuse(x, CG_REASON_ROUTE_UNKNOWN, 0);
-		return FILTER_STOP;
-	}
+	if (!x->route)
+		return refuse_unknown(x, CG_REASON_ROUTE_UNKNOWN);
 	x->deadline = x->arrived_at + x->route->timeout_ms;
 	if (x->caller_timeout_ms)
 		x->deadline =
@@ -604,7 +617,9 @@
 			  : NULL;
 	if (x->account)
 		return FILTER_CONTINUE;
-	refuse(x, x->bearer ? CG_REASON_KEY_UNKNOWN : CG_REASON_KEY_MISSING, 0);
+	if (x->bearer)
+		return refuse_unknown(x, CG_REASON_KEY_UNKNOWN);
+	refuse(x, CG_REASON_KEY_MISSING, 0);
 	return FILTER_STOP;
 }
 
--- a/src/gateway/feed_era.c
+++ b/src/gateway/feed_era.c
@@ -149,12 +149,16 @@
 							      : 0;
 }
 
-bool cgw_feed_is_behind(const struct cgw_feed *f)
+bool cgw_feed_newer_is_known(const struct cgw_feed *f)
 {
 	uint64_t version = f->table ? cgw_table_version(f->table) : 0;
 
-	return version < cgw_feed_known_version(f) &&
-	       f->older_read_at > f->known_since;
+	return version < cgw_feed_known_version(f);
+}
+
+bool cgw_feed_is_behind(const struct cgw_feed *f)
+{
+	return cgw_feed_newer_is_known(f) && f->older_read_at > f->known_since;
 }
 
 uint64_t cgw_feed_era(const struct cgw_feed *f)
@@ -174,9 +178,7 @@
 
 bool cgw_feed_needs_reports(const struct cgw_feed *f)
 {
-	uint64_t version = f->table ? cgw_table_version(f->table) : 0;
-
 	return cgw_feed_is_settling(f) ||
 	       (f->era &&
-		(version < cgw_feed_known_version(f) || f->era < heard_era(f)));
+		(cgw_feed_newer_is_known(f) || f->era < heard_era(f)));
 }
--- a/tests/test_system_handoff.c
+++ b/tests/test_system_handoff.c
@@ -1,20 +1,26 @@
 /* Tests how whole gateway processes hand a configuration on. Guards against a
  * configuration that is in force late because all daemons of a failure domain
  * fetch it from one narrow link at the same time, so that none gets it, or
- * because it takes too long there. */
+ * because it takes too long there, and against final answers by one that is known
+ * to be outdated. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
 /* cmocka needs the headers above it. */
 #include <cmocka.h>
+#include <arpa/inet.h>
 #include <json-c/json.h>
+#include <netinet/in.h>
 #include <poll.h>
+#include <rpc/types.h>
+#include <rpc/xdr.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "fleet_wire.h"
 #include "support/gateway_fleet.h"
 
 #define LINK_MBPS	 10
@@ -28,6 +34,9 @@
 #define IN_FORCE_MS    2000
 #define DOMAIN_DAEMONS 20
 #define POLL_MS	       20
+#define KNOWN_MS       2500
+#define DATAGRAM_BYTES 1000
+#define MAC_BYTES      16
 #define NONCE	       "0123456789abcdef0123456789abcdef"
 
 /* Returns further rules for gf_put_config(); the caller frees them. */
@@ -190,12 +199,97 @@
 	gf_stop(&f);
 }
 
+/* Sends a ping as of a daemon that has this version of the configuration. */
+static void send_ping(struct gateway_fleet *f, unsigned int daemon,
+		      unsigned int version)
+{
+	fleet_message m = {
+		.name = (char *)"other",
+		.domain = (char *)"a",
+		.incarnation = 1,
+		.body = { .kind = FLEET_PING,
+			  .fleet_body_u.ping.config_version = version },
+	};
+	char *ip = gf_daemon_ip(daemon), *secret = fleet_secret(f);
+	struct sockaddr_in to = {
+		.sin_family = AF_INET,
+		.sin_port = htons((uint16_t)(f->ports + 2)),
+		.sin_addr.s_addr = inet_addr(ip),
+	};
+	int fd = socket(AF_INET, SOCK_DGRAM, 0);
+	GHmac *h = g_hmac_new(G_CHECKSUM_SHA256, (const guchar *)secret,
+			      strlen(secret));
+	char data[DATAGRAM_BYTES];
+	guint8 mac[32];
+	gsize mac_len = sizeof(mac);
+	u_int len;
+	XDR x;
+
+	xdrmem_create(&x, data, sizeof(data), XDR_ENCODE);
+	assert_true(xdr_fleet_message(&x, &m));
+	len = xdr_getpos(&x);
+	xdr_destroy(&x);
+	g_hmac_update(h, (const guchar *)data, len);
+	g_hmac_get_digest(h, mac, &mac_len);
+	g_hmac_unref(h);
+	memcpy(data + len, mac, MAC_BYTES);
+	assert_int_equal(sendto(fd, data, len + MAC_BYTES, 0,
+				(struct sockaddr *)&to, sizeof(to)),
+			 len + MAC_BYTES);
+	close(fd);
+	g_free(secret);
+	g_free(ip);
+}
+
+static struct gf_response get(struct gateway_fleet *f, const char *path,
+			      const char *key)
+{
+	struct gf_request r = { .daemon = 0,
+				.method = "GET",
+				.path = path,
+				.key = key,
+				.id = "id" };
+
+	return gf_call(f, &r);
+}
+
+/* A newer configuration may contain the route or the key. A caller does not repeat
+ * a request after 404 or 401. */
+static void
+unknown_route_may_be_repeated_at_a_daemon_that_is_behind(void **state)
+{
+	struct gateway_fleet f;
+	struct gf_response a;
+
+	(void)state;
+	gf_start_serving(&f, 2, 0);
+	assert_int_equal(get(&f, "/new/x", "k1").status, 404);
+	assert_int_equal(get(&f, "/safe/x", "k2").status, 401);
+	send_ping(&f, 0, f.version + 1);
+	g_usleep((gulong)POLL_MS * 1000);
+	a = get(&f, "/new/x", "k1");
+	assert_int_equal(a.status, 503);
+	assert_string_equal(a.body, "config_behind");
+	assert_string_equal(a.retry_after, "0.500");
+	a = get(&f, "/safe/x", "k2");
+	assert_int_equal(a.status, 503);
+	assert_string_equal(a.body, "config_behind");
+	assert_int_equal(get(&f, "/safe/x", "k1").status, 200);
+	/* What another daemon has said counts for two seconds. */
+	g_usleep((gulong)KNOWN_MS * 1000);
+	assert_int_equal(get(&f, "/new/x", "k1").status, 404);
+	assert_int_equal(get(&f, "/safe/x", "k2").status, 401);
+	gf_stop(&f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(accepted_config_fetches_fit_the_link),
 		cmocka_unit_test(
 			large_config_is_in_force_in_time_at_narrow_links),
+		cmocka_unit_test(
+			unknown_route_may_be_repeated_at_a_daemon_that_is_behind),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
