--- a/src/gateway/compression.c
+++ b/src/gateway/compression.c
@@ -10,7 +10,6 @@
 {
 	uLongf n = compressBound((uLong)len);
 	Bytef *out = g_malloc(n);
-
 	int rc = compress2(out, &n, data, (uLong)len, Z_BEST_SPEED);
 
 	/* The buffer is large enough, and the level is valid. */
