--- a/include/gateway/feed.h
+++ b/include/gateway/feed.h
@@ -45,6 +45,8 @@
 
 /** Returns the table in force, or NULL; owned by the feed. */
 struct cgw_table *cgw_feed_table(struct cgw_feed *f);
+/** Returns the version of the configuration in force; 0 for none. */
+uint64_t cgw_feed_version(const struct cgw_feed *f);
 /** Returns the configuration in force, compressed by cgw_compress(), or NULL; owned
  * by the feed. */
 GBytes *cgw_feed_compressed_config(struct cgw_feed *f);
--- a/src/gateway/feed.c
+++ b/src/gateway/feed.c
@@ -134,7 +134,7 @@
 			       cg_ms sent_at)
 {
 	cg_ms received_at = cgw_loop_read_clock(f->loop);
-	uint64_t current = f->table ? cgw_table_version(f->table) : 0;
+	uint64_t current = cgw_feed_version(f);
 	char *reason = NULL;
 	struct cgw_table *old = f->table;
 	struct cgw_table *t;
@@ -201,6 +201,11 @@
 	return put_into_force(f, text, len, compressed, source, sent_at);
 }
 
+uint64_t cgw_feed_version(const struct cgw_feed *f)
+{
+	return f->table ? cgw_table_version(f->table) : 0;
+}
+
 GBytes *cgw_feed_compressed_config(struct cgw_feed *f)
 {
 	return f->compressed_config;
--- a/src/gateway/feed_era.c
+++ b/src/gateway/feed_era.c
@@ -131,11 +131,10 @@
 {
 	uint64_t known = cgw_feed_known_version(f);
 	cg_ms now = cgw_loop_now(f->loop);
-	uint64_t own = f->table ? cgw_table_version(f->table) : 0;
 
 	if (!version || version < known)
 		return;
-	if (version > own && !f->behind_since)
+	if (version > cgw_feed_version(f) && !f->behind_since)
 		f->behind_since = now;
 	if (version > known)
 		f->known_since = now;
@@ -151,9 +150,7 @@
 
 bool cgw_feed_newer_is_known(const struct cgw_feed *f)
 {
-	uint64_t version = f->table ? cgw_table_version(f->table) : 0;
-
-	return version < cgw_feed_known_version(f);
+	return cgw_feed_version(f) < cgw_feed_known_version(f);
 }
 
 bool cgw_feed_is_behind(const struct cgw_feed *f)
--- a/src/gateway/fleet_members.c
+++ b/src/gateway/fleet_members.c
@@ -197,9 +197,7 @@
 
 uint64_t cgw_fleet_config_version(struct cgw_fleet *f)
 {
-	struct cgw_table *t = cgw_feed_table(*f->feed);
-
-	return t ? cgw_table_version(t) : 0;
+	return cgw_feed_version(*f->feed);
 }
 
 /* Chooses at random a daemon of the domain that has the configuration in force:
