Sign datagrams of tests in one place

test_system_handoff computed the message authentication code of a datagram as test_system_messages did. gf_sign_datagram() serves both. The tests keep their assertions; both programs pass.

--- a/tests/support/gateway_fleet.c
+++ b/tests/support/gateway_fleet.c
@@ -23,8 +23,9 @@
 
 #include "../../bench/fleet/ports.h"
 
-#define READY_S 8
-#define SLOTS	3
+#define READY_S		  8
+#define SLOTS		  3
+#define DATAGRAM_MAC_SIZE 16
 
 static unsigned int domain_index(const struct gateway_fleet *f, unsigned int i)
 {
@@ -415,6 +416,19 @@
 	return n;
 }
 
+void gf_sign_datagram(GByteArray *datagram, const char *secret)
+{
+	guint8 mac[32];
+	gsize len = sizeof(mac);
+	GHmac *h = g_hmac_new(G_CHECKSUM_SHA256, (const guchar *)secret,
+			      strlen(secret));
+
+	g_hmac_update(h, datagram->data, (gssize)datagram->len);
+	g_hmac_get_digest(h, mac, &len);
+	g_hmac_unref(h);
+	g_byte_array_append(datagram, mac, DATAGRAM_MAC_SIZE);
+}
+
 char *gf_read_responses(int fd, unsigned int count, long ms)
 {
 	GString *s = g_string_new(NULL);
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -6,6 +6,7 @@
 #ifndef CELERYGLADE_TESTS_GATEWAY_FLEET_H
 #define CELERYGLADE_TESTS_GATEWAY_FLEET_H
 
+#include <glib.h>
 #include <sys/types.h>
 
 #include "../../standins/support/object_store.h"
@@ -111,6 +112,8 @@
 /** The same to the port for other daemons. */
 int gf_send_raw_peer(struct gateway_fleet *f, unsigned int daemon,
 		     const char *text);
+/** Appends the message authentication code of a datagram between daemons. */
+void gf_sign_datagram(GByteArray *datagram, const char *secret);
 /** Reads from a socket until @p count responses have started or @p ms have
  * passed. Returns the text, which the caller frees. */
 char *gf_read_responses(int fd, unsigned int count, long ms);
--- a/tests/test_system_handoff.c
+++ b/tests/test_system_handoff.c
@@ -35,8 +35,6 @@
 #define DOMAIN_DAEMONS 20
 #define POLL_MS	       20
 #define KNOWN_MS       2500
-#define DATAGRAM_BYTES 1000
-#define MAC_BYTES      16
 #define NONCE	       "0123456789abcdef0123456789abcdef"
 
 /* Returns further rules for gf_put_config(); the caller frees them. */
@@ -217,25 +215,19 @@
 		.sin_addr.s_addr = inet_addr(ip),
 	};
 	int fd = socket(AF_INET, SOCK_DGRAM, 0);
-	GHmac *h = g_hmac_new(G_CHECKSUM_SHA256, (const guchar *)secret,
-			      strlen(secret));
-	char data[DATAGRAM_BYTES];
-	guint8 mac[32];
-	gsize mac_len = sizeof(mac);
-	u_int len;
+	GByteArray *datagram = g_byte_array_new();
 	XDR x;
 
-	xdrmem_create(&x, data, sizeof(data), XDR_ENCODE);
+	g_byte_array_set_size(
+		datagram, (guint)xdr_sizeof((xdrproc_t)xdr_fleet_message, &m));
+	xdrmem_create(&x, (char *)datagram->data, datagram->len, XDR_ENCODE);
 	assert_true(xdr_fleet_message(&x, &m));
-	len = xdr_getpos(&x);
 	xdr_destroy(&x);
-	g_hmac_update(h, (const guchar *)data, len);
-	g_hmac_get_digest(h, mac, &mac_len);
-	g_hmac_unref(h);
-	memcpy(data + len, mac, MAC_BYTES);
-	assert_int_equal(sendto(fd, data, len + MAC_BYTES, 0,
+	gf_sign_datagram(datagram, secret);
+	assert_int_equal(sendto(fd, datagram->data, datagram->len, 0,
 				(struct sockaddr *)&to, sizeof(to)),
-			 len + MAC_BYTES);
+			 datagram->len);
+	g_byte_array_unref(datagram);
 	close(fd);
 	g_free(secret);
 	g_free(ip);
--- a/tests/test_system_messages.c
+++ b/tests/test_system_messages.c
@@ -30,7 +30,6 @@
 #define SEED		 20261205
 #define GATEWAY_MESSAGES 20000
 #define GATEWAY_SECRET	 "0123456789abcdef0123456789abcdef"
-#define MAC_SIZE	 16
 #define BATCH		 100 /* messages between two pauses */
 #define BATCH_PAUSE_US	 5000
 #define DAEMON_MESSAGES	 6000
@@ -46,19 +45,6 @@
 					 : SEED);
 }
 
-static void sign(GByteArray *m)
-{
-	guint8 mac[32];
-	gsize len = sizeof(mac);
-	GHmac *h = g_hmac_new(G_CHECKSUM_SHA256, (const guchar *)GATEWAY_SECRET,
-			      strlen(GATEWAY_SECRET));
-
-	g_hmac_update(h, m->data, (gssize)m->len);
-	g_hmac_get_digest(h, mac, &len);
-	g_hmac_unref(h);
-	g_byte_array_append(m, mac, MAC_SIZE);
-}
-
 static void gateways_survive_random_messages(void **state)
 {
 	static const char *const names[] = { "d0",  "d1", "d2",	 "x1",
@@ -86,7 +72,7 @@
 
 		if (!m)
 			continue;
-		sign(m);
+		gf_sign_datagram(m, GATEWAY_SECRET);
 		to.sin_addr.s_addr =
 			htonl(0x7f000901 + (uint32_t)g_rand_int_range(r, 0, 4));
 		sent += sendto(fd, m->data, m->len, 0, (struct sockaddr *)&to,
