Split the response of a handed-on resource into its steps

respond() had grown to choose the coding, check the link, sign, and build two responses. accepts_compression(), respond_absent() and respond_signed() take a step each. No change of behaviour: test_system_handoff, test_system_placement and test_system_gateway pass.

--- a/src/gateway/handoff.c
+++ b/src/gateway/handoff.c
@@ -214,41 +214,40 @@
 	return NULL;
 }
 
-static enum MHD_Result respond(struct cgw_handoff *h,
-			       struct MHD_Connection *mhd, enum resource r,
-			       const char *nonce)
+static bool accepts_compression(struct MHD_Connection *mhd)
 {
 	const char *coding = MHD_lookup_connection_value(
 		mhd, MHD_HEADER_KIND, MHD_HTTP_HEADER_ACCEPT_ENCODING);
-	bool compressed = r == RESOURCE_CONFIG && coding &&
-			  !strcmp(coding, CGW_COMPRESSION_CODING);
-	cg_ms age;
-	GByteArray *b = resource_body(h, r, compressed, &age);
+
+	return coding && !strcmp(coding, CGW_COMPRESSION_CODING);
+}
+
+static enum MHD_Result respond_absent(struct MHD_Connection *mhd)
+{
+	struct MHD_Response *m = MHD_create_response_from_buffer(
+		0, (void *)"", MHD_RESPMEM_PERSISTENT);
+	enum MHD_Result rc = MHD_queue_response(mhd, 404, m);
+
+	MHD_destroy_response(m);
+	return rc;
+}
+
+/* Signs and sends the body @b, which it frees. */
+static enum MHD_Result respond_signed(struct cgw_handoff *h,
+				      struct MHD_Connection *mhd,
+				      enum resource r, const char *nonce,
+				      GByteArray *b, cg_ms age, bool compressed)
+{
 	char mac[CGW_FLEET_MAC_TEXT], age_text[24];
 	struct MHD_Response *m;
 	enum MHD_Result rc;
-	gsize len;
+	gsize len = b->len;
 
-	if (b && r == RESOURCE_CONFIG &&
-	    !cgw_link_budget_take(&h->link, b->len, SEND_MS,
-				  cgw_loop_now(h->gateway->loop))) {
-		g_byte_array_unref(b);
-		cg_count(CG_COUNTER_CONFIG_FETCHES_REFUSED);
-		return cg_http_respond_text(mhd, MHD_HTTP_SERVICE_UNAVAILABLE,
-					    "the link is busy");
-	}
 	g_snprintf(age_text, sizeof(age_text), "%d", (int)MIN(age, G_MAXINT));
-	if (!b ||
-	    compute_mac(h, targets[r], nonce, age_text, b->data, b->len, mac)) {
-		if (b)
-			g_byte_array_unref(b);
-		m = MHD_create_response_from_buffer(0, (void *)"",
-						    MHD_RESPMEM_PERSISTENT);
-		rc = MHD_queue_response(mhd, 404, m);
-		MHD_destroy_response(m);
-		return rc;
+	if (compute_mac(h, targets[r], nonce, age_text, b->data, len, mac)) {
+		g_byte_array_unref(b);
+		return respond_absent(mhd);
 	}
-	len = b->len;
 	m = MHD_create_response_from_buffer_with_free_callback(
 		len, g_byte_array_free(b, FALSE), g_free);
 	MHD_add_response_header(m, HEADER_MAC, mac);
@@ -262,6 +261,27 @@
 	return rc;
 }
 
+static enum MHD_Result respond(struct cgw_handoff *h,
+			       struct MHD_Connection *mhd, enum resource r,
+			       const char *nonce)
+{
+	bool compressed = r == RESOURCE_CONFIG && accepts_compression(mhd);
+	cg_ms age;
+	GByteArray *b = resource_body(h, r, compressed, &age);
+
+	if (!b)
+		return respond_absent(mhd);
+	if (r == RESOURCE_CONFIG &&
+	    !cgw_link_budget_take(&h->link, b->len, SEND_MS,
+				  cgw_loop_now(h->gateway->loop))) {
+		g_byte_array_unref(b);
+		cg_count(CG_COUNTER_CONFIG_FETCHES_REFUSED);
+		return cg_http_respond_text(mhd, MHD_HTTP_SERVICE_UNAVAILABLE,
+					    "the link is busy");
+	}
+	return respond_signed(h, mhd, r, nonce, b, age, compressed);
+}
+
 static enum MHD_Result handle_request(void *cls, struct MHD_Connection *mhd,
 				      const char *url, const char *method,
 				      const char *version, const char *data,
