--- a/tests/test_compression.c
+++ b/tests/test_compression.c
@@ -25,6 +25,7 @@
 	return cgw_decompress(g_bytes_get_data(b, NULL), len, max);
 }
 
+/* Guards against a configuration that is changed on its way. */
 static void data_is_the_same_again(void **state)
 {
 	char *plain;
@@ -41,6 +42,7 @@
 	g_free(plain);
 }
 
+/* Guards against empty data that is taken for invalid. */
 static void empty_data_is_the_same_again(void **state)
 {
 	GBytes *b = cgw_compress("", 0);
@@ -53,6 +55,7 @@
 	g_bytes_unref(b);
 }
 
+/* Guards against a response that is cut short, or is text, and is taken for whole. */
 static void invalid_data_is_refused(void **state)
 {
 	char *plain;
@@ -67,6 +70,7 @@
 	g_free(plain);
 }
 
+/* Guards against a small response that takes up all memory. */
 static void long_data_is_refused(void **state)
 {
 	char *plain;
--- a/tests/test_link_budget.c
+++ b/tests/test_link_budget.c
@@ -21,6 +21,7 @@
 	return b;
 }
 
+/* Guards against transfers that are accepted together and all come too late. */
 static void link_is_promised_what_it_carries_in_time(void **state)
 {
 	struct cgw_link_budget b = budget(MBPS);
@@ -34,6 +35,7 @@
 	assert_true(cgw_link_budget_take(&b, 60000, WITHIN_MS, 1060));
 }
 
+/* Guards against a narrow link that never accepts a long transfer. */
 static void idle_link_is_used_for_what_takes_longer(void **state)
 {
 	struct cgw_link_budget b = budget(MBPS);
@@ -44,6 +46,7 @@
 	assert_true(cgw_link_budget_take(&b, 500000, WITHIN_MS, 1500));
 }
 
+/* Guards against refusals where the settings do not state the bandwidth. */
 static void unknown_link_is_not_limited(void **state)
 {
 	struct cgw_link_budget b = budget(0);
--- a/tests/test_system_handoff.c
+++ b/tests/test_system_handoff.c
@@ -169,7 +169,8 @@
 	return has;
 }
 
-/* Each daemon paces what it hands on by the link in its settings, so that this
+/* Guards against a version that reaches the last daemons of a domain too late.
+ * Each daemon paces what it hands on by the link in its settings, so that this
  * shows the time also where the links of the test are faster. */
 static void large_config_is_in_force_in_time_at_narrow_links(void **state)
 {
